Set up the build, the design page and the shared contracts

Cause: nothing existed; every later part needs one build, one style and one set of interfaces. Ruled out: one Maven module (stand-ins would ship in the daemon's jar), Gradle (not installed). Change: parent, server and examples modules; Spring formatter and SpringChecks with warnings as errors; wire.proto with its committed generated classes; outcome and failure types; ranked locks and worker pool; interfaces between the layers; docs/design.md. Before: no tests. Conclusion: parts can be written side by side against these interfaces.

--- /dev/null
+++ b/server/src/main/java/org/acaciamux/Outcome.java
@@ -0,0 +1,38 @@
+package org.acaciamux;
+
+/**
+ * What is known about the execution of a call when its final answer is given. Sent to
+ * callers in the header {@code Acaciamux-Outcome}. Immutable and thread-safe.
+ */
+public enum Outcome {
+
+	/**
+	 * The backend server ran the call and this is its answer.
+	 */
+	ANSWERED("answered"),
+
+	/**
+	 * The call did not run and will not run; given only with proof.
+	 */
+	NOT_RUN("not-run"),
+
+	/**
+	 * The call may or may not have run.
+	 */
+	UNKNOWN("unknown");
+
+	private final String headerValue;
+
+	Outcome(String headerValue) {
+		this.headerValue = headerValue;
+	}
+
+	/**
+	 * Return the stable text of this outcome.
+	 * @return one of {@code answered}, {@code not-run} and {@code unknown}
+	 */
+	public String headerValue() {
+		return this.headerValue;
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/event/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Numbered log events.
+ */
+package org.acaciamux.internal.event;
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Implementation of acaciamux; not part of the public API.
+ */
+package org.acaciamux.internal;
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/protocol/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Sessions between processes, HTTP header names and problem bodies.
+ */
+package org.acaciamux.internal.protocol;
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/state/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Shared tables, ranked locks and the worker pool.
+ */
+package org.acaciamux.internal.state;
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/state/record/OrganisationSpec.java
@@ -0,0 +1,22 @@
+package org.acaciamux.internal.state.record;
+
+/**
+ * The settings of an organisation. Immutable and thread-safe.
+ *
+ * @param name the organisation's name
+ * @param weight share in fair queueing relative to others, 1 to 1,000
+ * @param maxQueueShare largest part of an agent's queue that it may fill, above 0.0 and
+ * at most 1.0
+ */
+public record OrganisationSpec(String name, int weight, double maxQueueShare) {
+
+	/**
+	 * Return an organisation with default settings.
+	 * @param name the organisation's name
+	 * @return the settings
+	 */
+	public static OrganisationSpec defaults(String name) {
+		return new OrganisationSpec(name, 1, 0.5);
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/state/record/RecordView.java
@@ -0,0 +1,45 @@
+package org.acaciamux.internal.state.record;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * The records in force in this process. Implementations are thread-safe and never return
+ * an older version of a record after a newer one.
+ */
+public interface RecordView {
+
+	/**
+	 * Find a pool.
+	 * @param name the pool's name
+	 * @return the settings in force, or empty if there is no such pool
+	 */
+	Optional<PoolSpec> pool(String name);
+
+	/**
+	 * List the pools.
+	 * @return the settings in force, in no particular order
+	 */
+	List<PoolSpec> pools();
+
+	/**
+	 * Find an organisation.
+	 * @param name the organisation's name
+	 * @return the settings in force, or the defaults if it has no record
+	 */
+	OrganisationSpec organisation(String name);
+
+	/**
+	 * Find a priority.
+	 * @param name the priority's name
+	 * @return the settings in force, or the defaults if it has no record
+	 */
+	PrioritySpec priority(String name);
+
+	/**
+	 * Return the highest version in force.
+	 * @return the revision, 0 before the first record
+	 */
+	long revision();
+
+}
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * HTTP front for callers, admin port, and HTTP clients.
+ */
+package org.acaciamux.internal.transport.http;
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/transport/peer/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Netty server and client for connections between processes.
+ */
+package org.acaciamux.internal.transport.peer;
