Add the interfaces between placement, claims, membership and admission

Cause: the parts are written side by side and need one contract each. Ruled out: letting each part define its own; the merges would then clash. Conclusion: each part can be tested alone with fakes of the others.

--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/coordination/claim/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Calls that must not run twice: keys, partitions, claims and takeover.
+ */
+package org.acaciamux.internal.coordination.claim;
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/coordination/membership/PoolLoadView.java
@@ -0,0 +1,26 @@
+package org.acaciamux.internal.coordination.membership;
+
+/**
+ * What an agent knows about the load of its pool. Implementations are thread-safe.
+ */
+public interface PoolLoadView {
+
+	/**
+	 * Return the load of the pool without this agent's own server.
+	 * @return the load now
+	 */
+	PoolLoad poolLoad();
+
+	/**
+	 * Load of a pool.
+	 *
+	 * @param members live members of the pool, this agent included, at least 1
+	 * @param othersLoad sum of the loads of the other members; a member whose entry is
+	 * older than 3 s counts as 0
+	 * @param otherHealthy other live members whose backend server is up and that do not
+	 * leave
+	 */
+	record PoolLoad(int members, int othersLoad, int otherHealthy) {
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/coordination/routing/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Choice of backend servers and the life cycle of requests in a router.
+ */
+package org.acaciamux.internal.coordination.routing;
--- a/server/src/main/java/org/acaciamux/internal/state/record/RecordView.java
+++ b/server/src/main/java/org/acaciamux/internal/state/record/RecordView.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Optional;
 
+import com.fasterxml.jackson.databind.JsonNode;
+
 /**
  * The records in force in this process. Implementations are thread-safe and never return
  * an older version of a record after a newer one.
@@ -36,6 +38,15 @@
 	 */
 	PrioritySpec priority(String name);
 
+	/**
+	 * Find the value of any object that spreads with the configuration, for instance a
+	 * {@code ClaimPartition}.
+	 * @param kind the kind
+	 * @param name the name
+	 * @return the value in force, or empty if there is none
+	 */
+	Optional<JsonNode> value(String kind, String name);
+
 	/**
 	 * Return the highest version in force.
 	 * @return the revision, 0 before the first record
