Run requests of routers in the agent

BackendClient is the Netty HTTP client to the server, with back-pressure and a connection pool. Missing: tick (deadlines, queue wait, detached work), drain, health, crash suspects, metrics, dump, tests.

--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentIdentity.java
@@ -0,0 +1,11 @@
+package org.acaciamux.internal.coordination.admission;
+
+/**
+ * Who an agent is. Immutable and thread-safe.
+ *
+ * @param id the VM's id
+ * @param pool the pool that the backend server belongs to
+ * @param incarnation the random number drawn when the process started
+ */
+public record AgentIdentity(String id, String pool, long incarnation) {
+}
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * Load bound, fair queue, response tails, drain, and the life cycle of requests in an
+ * agent.
+ */
+package org.acaciamux.internal.coordination.admission;
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/coordination/quarantine/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Requests that are suspected to crash backend servers.
+ */
+package org.acaciamux.internal.coordination.quarantine;
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/BackendControl.java
@@ -0,0 +1,87 @@
+package org.acaciamux.internal.transport.http;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.protobuf.ByteString;
+
+import org.acaciamux.internal.coordination.admission.Backend;
+import org.acaciamux.internal.protocol.wire.Header;
+
+/**
+ * Collects the response to a control request, such as a probe. Invariant: the reply
+ * completes exactly once and never exceptionally. Thread-safe.
+ */
+final class BackendControl implements Backend.Listener {
+
+	private static final ObjectMapper mapper = new ObjectMapper();
+
+	private final CompletableFuture<Reply> reply = new CompletableFuture<>();
+
+	private int status;
+
+	private ByteString body = ByteString.EMPTY;
+
+	CompletableFuture<Reply> reply() {
+		return this.reply;
+	}
+
+	void timeOut() {
+		this.reply.complete(new Reply(Backend.Health.State.SILENT, 0, ByteString.EMPTY));
+	}
+
+	@Override
+	public void head(int status, List<Header> headers) {
+		this.status = status;
+	}
+
+	@Override
+	public void data(ByteString data) {
+		this.body = this.body.concat(data);
+	}
+
+	@Override
+	public void end() {
+		this.reply.complete(new Reply(Backend.Health.State.UP, this.status, this.body));
+	}
+
+	@Override
+	public void failed(Backend.Break cause, String detail) {
+		this.reply.complete(new Reply(Backend.Health.State.REFUSED, 0, ByteString.EMPTY));
+	}
+
+	/**
+	 * The response to a control request. Immutable and thread-safe.
+	 *
+	 * @param state whether the server answered
+	 * @param status the HTTP status, 0 without an answer
+	 * @param body the body
+	 */
+	record Reply(Backend.Health.State state, int status, ByteString body) {
+
+		boolean ok() {
+			return BackendClient.isOk(this.status);
+		}
+
+		Backend.Health health() {
+			// Plain services have no health endpoint and may answer with any status; that
+			// counts as up without an incarnation.
+			return new Backend.Health(this.state, ok() ? incarnation() : "");
+		}
+
+		private String incarnation() {
+			try {
+				JsonNode node = mapper.readTree(this.body.toByteArray());
+				return node.path("incarnation").asText("");
+			}
+			catch (IOException ex) {
+				return "";
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/BackendExchange.java
@@ -0,0 +1,253 @@
+package org.acaciamux.internal.transport.http;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import com.google.protobuf.ByteString;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+
+import org.acaciamux.internal.coordination.admission.Backend;
+import org.acaciamux.internal.protocol.Headers;
+import org.acaciamux.internal.protocol.wire.Header;
+
+/**
+ * One request on one connection to the backend server. Invariants: the listener gets
+ * exactly one end, and nothing after it; all callbacks run on the connection's event
+ * loop. {@link #pause}, {@link #resume} and {@link #cancel} may be called from any
+ * thread.
+ */
+final class BackendExchange implements Backend.Call {
+
+	private static final Set<String> HOP_BY_HOP = Set.of("connection", "keep-alive", "proxy-connection",
+			"transfer-encoding", "upgrade", "te", "trailer", "content-length", "host", "expect");
+
+	private static final String HANDLER = "exchange";
+
+	private final Backend.BackendRequest request;
+
+	private final Backend.Listener listener;
+
+	private final BackendConnections connections;
+
+	private final Consumer<Runnable> canceller;
+
+	private final String authority;
+
+	private volatile Channel channel;
+
+	private volatile boolean paused;
+
+	private volatile boolean cancelled;
+
+	private boolean ended;
+
+	/**
+	 * Create an exchange.
+	 * @param request the request
+	 * @param listener receives the response
+	 * @param connections the connections
+	 * @param authority the server's address and port
+	 * @param canceller asks the server to stop the request and runs the given action when
+	 * the server has answered or the time for that has passed
+	 */
+	BackendExchange(Backend.BackendRequest request, Backend.Listener listener, BackendConnections connections,
+			String authority, Consumer<Runnable> canceller) {
+		this.request = request;
+		this.listener = listener;
+		this.connections = connections;
+		this.authority = authority;
+		this.canceller = canceller;
+	}
+
+	void start() {
+		this.connections.acquire(!this.request.repeatable(), this::connected);
+	}
+
+	private void connected(Channel connection, Throwable cause) {
+		if (connection == null) {
+			fail(Backend.Break.NOT_SENT, "The backend server at " + this.authority + " took no connection: " + cause);
+			return;
+		}
+		this.channel = connection;
+		if (this.cancelled) {
+			this.connections.release(connection);
+			fail(Backend.Break.CANCELLED, "The request was cancelled before it was sent");
+			return;
+		}
+		connection.pipeline().addLast(HANDLER, new Handler());
+		connection.config().setAutoRead(!this.paused);
+		connection.writeAndFlush(encode());
+	}
+
+	private FullHttpRequest encode() {
+		ByteBuf body = Unpooled.wrappedBuffer(this.request.body().asReadOnlyByteBuffer());
+		FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
+				HttpMethod.valueOf(this.request.method()), this.request.path(), body);
+		for (Header header : this.request.headers()) {
+			if (!HOP_BY_HOP.contains(header.getName().toLowerCase(Locale.ROOT))) {
+				message.headers().add(header.getName(), header.getValue());
+			}
+		}
+		message.headers().set(HttpHeaderNames.HOST, this.authority);
+		message.headers().set(HttpHeaderNames.CONTENT_LENGTH, this.request.body().size());
+		message.headers().set(Headers.REQUEST_ID, this.request.requestId());
+		message.headers().set(Headers.PRIORITY, this.request.priority());
+		return message;
+	}
+
+	@Override
+	public void pause() {
+		this.paused = true;
+		applyPause();
+	}
+
+	@Override
+	public void resume() {
+		this.paused = false;
+		applyPause();
+	}
+
+	/**
+	 * Runs on the event loop, so that it cannot touch a connection that was released to
+	 * another request in the meantime.
+	 */
+	private void applyPause() {
+		Channel connection = this.channel;
+		if (connection != null) {
+			connection.eventLoop().execute(() -> {
+				if (!this.ended) {
+					connection.config().setAutoRead(!this.paused);
+				}
+			});
+		}
+	}
+
+	@Override
+	public void cancel() {
+		this.cancelled = true;
+		Channel connection = this.channel;
+		if (connection != null) {
+			connection.eventLoop().execute(this::cancelSent);
+		}
+	}
+
+	private void cancelSent() {
+		if (!this.ended) {
+			this.canceller.accept(this.channel::close);
+		}
+	}
+
+	private void fail(Backend.Break cause, String detail) {
+		if (this.ended) {
+			return;
+		}
+		this.ended = true;
+		boolean byUs = this.cancelled && cause == Backend.Break.BROKEN_OFF;
+		this.listener.failed(byUs ? Backend.Break.CANCELLED : cause, detail);
+	}
+
+	private static List<Header> headersOf(HttpResponse response) {
+		List<Header> headers = new ArrayList<>();
+		for (Map.Entry<String, String> entry : response.headers()) {
+			if (!HOP_BY_HOP.contains(entry.getKey().toLowerCase(Locale.ROOT))) {
+				headers.add(Header.newBuilder().setName(entry.getKey()).setValue(entry.getValue()).build());
+			}
+		}
+		return headers;
+	}
+
+	/**
+	 * Reads the response. Runs on the connection's event loop only.
+	 */
+	private final class Handler extends SimpleChannelInboundHandler<HttpObject> {
+
+		private boolean keepAlive;
+
+		private boolean interim;
+
+		@Override
+		protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+			if (BackendExchange.this.ended) {
+				return;
+			}
+			if (message.decoderResult().isFailure()) {
+				breakOff(context, "The response is malformed: " + message.decoderResult().cause());
+				return;
+			}
+			if (message instanceof HttpResponse response) {
+				head(response);
+			}
+			if (message instanceof HttpContent content && !this.interim) {
+				content(content);
+			}
+			if (message instanceof LastHttpContent) {
+				last(context);
+			}
+		}
+
+		private void head(HttpResponse response) {
+			this.interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+			if (!this.interim) {
+				this.keepAlive = HttpUtil.isKeepAlive(response);
+				BackendExchange.this.listener.head(response.status().code(), headersOf(response));
+			}
+		}
+
+		private void content(HttpContent content) {
+			if (content.content().isReadable()) {
+				BackendExchange.this.listener.data(ByteString.copyFrom(content.content().nioBuffer()));
+			}
+		}
+
+		private void last(ChannelHandlerContext context) {
+			if (this.interim) {
+				return;
+			}
+			BackendExchange.this.ended = true;
+			context.pipeline().remove(this);
+			if (this.keepAlive && !BackendExchange.this.cancelled) {
+				BackendExchange.this.connections.release(context.channel());
+			}
+			else {
+				context.close();
+			}
+			BackendExchange.this.listener.end();
+		}
+
+		private void breakOff(ChannelHandlerContext context, String detail) {
+			context.close();
+			fail(Backend.Break.BROKEN_OFF, detail);
+		}
+
+		@Override
+		public void channelInactive(ChannelHandlerContext context) {
+			fail(Backend.Break.BROKEN_OFF, "The backend server closed the connection before the response was complete");
+		}
+
+		@Override
+		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+			breakOff(context, "The connection to the backend server failed: " + cause);
+		}
+
+	}
+
+}
