--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/AdmissionControl.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/AdmissionControl.java
@@ -72,7 +72,14 @@
 		return enqueue(work, pool, nowMs);
 	}
 
-	private boolean hasRoom(PoolSpec pool, PoolLoad others) {
+	/**
+	 * Return whether the load bound lets one more request run now.
+	 * @param pool the pool's settings
+	 * @param others the load of the other members
+	 * @return whether an offer would be admitted, unless work is queued or the agent
+	 * drains
+	 */
+	public boolean hasRoom(PoolSpec pool, PoolLoad others) {
 		return this.gate == Gate.OPEN && this.load < limit(pool, others, this.load);
 	}
 
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentMetrics.java
@@ -0,0 +1,35 @@
+package org.acaciamux.internal.coordination.admission;
+
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+
+/**
+ * Metrics of the agent, named {@code acaciamux.admission.<name>}. Thread-safe.
+ */
+final class AgentMetrics {
+
+	private static final String PREFIX = "acaciamux.admission.";
+
+	private final MetricRegistry registry;
+
+	AgentMetrics(MetricRegistry registry) {
+		this.registry = registry;
+	}
+
+	void gauge(String name, Supplier<Integer> value) {
+		Gauge<Integer> gauge = value::get;
+		this.registry.gauge(PREFIX + name, () -> gauge);
+	}
+
+	void count(String name) {
+		this.registry.counter(PREFIX + name).inc();
+	}
+
+	void time(String name, long ms) {
+		this.registry.timer(PREFIX + name).update(Math.max(0, ms), TimeUnit.MILLISECONDS);
+	}
+
+}
--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentRequest.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentRequest.java
@@ -1,5 +1,7 @@
 package org.acaciamux.internal.coordination.admission;
 
+import java.util.List;
+
 import org.acaciamux.internal.protocol.PeerLink;
 import org.acaciamux.internal.protocol.wire.RequestId;
 import org.acaciamux.internal.protocol.wire.Submit;
@@ -22,10 +24,14 @@
 
 	private final ResponseStream stream;
 
+	private final RequestTrace trace;
+
 	private State state = State.NEW;
 
 	private boolean admitted;
 
+	private volatile boolean isolated;
+
 	private boolean cancelled;
 
 	private boolean paused;
@@ -41,6 +47,7 @@
 		this.organisation = organisation;
 		this.priority = priority;
 		this.arrivedMs = arrivedMs;
+		this.trace = new RequestTrace(submit, arrivedMs);
 		this.stream = new ResponseStream(submit.getId(), link, Integer.toUnsignedLong(submit.getInitialCredit()));
 	}
 
@@ -100,24 +107,49 @@
 		this.admitted = admitted;
 	}
 
+	/**
+	 * Return whether this is the isolated run of a crash suspect. Only touched by the
+	 * thread that starts or ends the run.
+	 * @return whether it holds the place for suspects
+	 */
+	boolean isolated() {
+		return this.isolated;
+	}
+
+	void isolated(boolean isolated) {
+		this.isolated = isolated;
+	}
+
+	RequestTrace trace() {
+		return this.trace;
+	}
+
+	/**
+	 * Return whether the final answer was given.
+	 * @return whether the request ended or was refused
+	 */
+	boolean isOver() {
+		return this.state == State.ENDED || this.state == State.REFUSED;
+	}
+
 	boolean cancelled() {
 		return this.cancelled;
 	}
 
-	void cancel() {
-		this.cancelled = true;
-		if (this.call != null) {
-			this.call.cancel();
+	void cancel(List<Runnable> effects) {
+		if (!this.cancelled && this.call != null) {
+			effects.add(this.call::cancel);
 		}
+		this.cancelled = true;
 	}
 
-	void started(Backend.Call call) {
+	void started(Backend.Call call, List<Runnable> effects) {
 		this.call = call;
 		if (this.paused) {
 			call.pause();
 		}
 		if (this.cancelled) {
-			call.cancel();
+			effects.add(call::cancel);
 		}
 	}
 
--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentService.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentService.java
@@ -1,37 +1,54 @@
 package org.acaciamux.internal.coordination.admission;
 
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.agrona.concurrent.NanoClock;
 
 import org.acaciamux.Failure;
 import org.acaciamux.FailureCode;
 import org.acaciamux.internal.coordination.claim.CallClaims;
+import org.acaciamux.internal.coordination.membership.OwnLoad;
 import org.acaciamux.internal.coordination.membership.PoolLoadView;
+import org.acaciamux.internal.coordination.quarantine.SuspectTable;
 import org.acaciamux.internal.protocol.FrameHandler;
 import org.acaciamux.internal.protocol.PeerLink;
-import org.acaciamux.internal.protocol.wire.Cancel;
 import org.acaciamux.internal.protocol.wire.Credit;
 import org.acaciamux.internal.protocol.wire.Frame;
-import org.acaciamux.internal.protocol.wire.Resolve;
+import org.acaciamux.internal.protocol.wire.RequestId;
 import org.acaciamux.internal.protocol.wire.Resume;
 import org.acaciamux.internal.protocol.wire.Submit;
+import org.acaciamux.internal.protocol.wire.SuspectEntry;
 import org.acaciamux.internal.state.record.RecordView;
 
 /**
  * Serves routers: takes requests, streams responses within the credit, and answers what
- * became of a request. Invariants: see {@link AgentCore}. Thread-safe; {@link #handle}
- * does not block.
+ * became of a request. Invariants: see {@link AgentCore}. Thread-safe; no method blocks.
  */
-public final class AgentService implements FrameHandler {
+public final class AgentService implements FrameHandler, OwnLoad {
+
+	/** Period in which {@link #tick} is to be called, in milliseconds. */
+	public static final long TICK_MS = 50;
 
 	private final AgentCore core;
 
-	private final RequestRunner runner;
+	private final KeyedCalls keyed;
+
+	private final SuspectGate gate;
+
+	private final SuspectTable suspects;
+
+	private final BackendMonitor monitor;
+
+	private final AgentSweep sweep;
+
+	private final AgentDrain drain;
+
+	private final ChatCache cache;
 
 	private final Set<PeerLink> links = ConcurrentHashMap.newKeySet();
 
@@ -39,16 +56,27 @@
 	 * Create the service.
 	 * @param identity who this agent is
 	 * @param records the records in force
-	 * @param loads the load of the pool
-	 * @param backend the backend server
+	 * @param loads the load of the pool; read without a lock of rank ADMISSION
+	 * @param server the backend server
 	 * @param claims decides on keyed calls; empty refuses them
+	 * @param suspects the crash suspects
 	 * @param clock the monotonic clock
+	 * @param registry receives the metrics
 	 */
-	public AgentService(AgentIdentity identity, RecordView records, PoolLoadView loads, Backend backend,
-			Optional<CallClaims> claims, NanoClock clock) {
-		this.core = new AgentCore(identity, records, loads, clock);
-		this.runner = new RequestRunner(this.core, backend, claims);
-		this.core.launcher(this.runner::launch);
+	public AgentService(AgentIdentity identity, RecordView records, PoolLoadView loads, Server server,
+			Optional<CallClaims> claims, SuspectTable suspects, NanoClock clock, MetricRegistry registry) {
+		this.core = new AgentCore(identity, records, loads, clock, new AgentMetrics(registry));
+		this.keyed = new KeyedCalls(this.core, claims);
+		this.suspects = suspects;
+		this.gate = new SuspectGate(this.core, suspects);
+		this.monitor = new BackendMonitor(this.core, server.backend(), this.gate);
+		this.cache = server.cache();
+		ChatHandover handover = new ChatHandover(identity.pool(), server.cache(), server.offers());
+		RequestRunner runner = new RequestRunner(this.core, server.backend(), this.keyed, this.gate, this.monitor,
+				handover);
+		this.core.launcher(runner::launch);
+		this.sweep = new AgentSweep(this.core, this.keyed);
+		this.drain = new AgentDrain(this.core, handover);
 	}
 
 	@Override
@@ -56,10 +84,12 @@
 		switch (frame.getBodyCase()) {
 			case SUBMIT -> submit(link, frame.getSubmit());
 			case CREDIT -> credit(frame.getCredit());
-			case CANCEL -> cancel(frame.getCancel());
+			case CANCEL -> cancel(frame.getCancel().getId());
 			case RESUME -> resume(link, frame.getResume());
-			case RESOLVE -> resolve(link, frame.getResolve());
+			case RESOLVE -> this.core.act((effects) -> sendResolution(link, frame.getResolve().getId()));
+			case KV_OFFER -> this.cache.importChat(frame.getKvOffer().getCache());
 			default -> {
+				// Frames for other parts of the process.
 			}
 		}
 	}
@@ -69,32 +99,59 @@
 		AgentRequest request = new AgentRequest(submit, this.core.records().organisation(submit.getOrganisation()),
 				this.core.records().priority(submit.getPriority()), link, this.core.nowMs());
 		AgentCore.PoolNow pool = this.core.pool();
+		SuspectTable.Verdict verdict = this.gate.check(request, pool);
 		this.core.act((effects) -> {
 			if (this.core.table().isKnown(submit.getId())) {
+				this.core.metrics().count("repeatedIds");
 				return;
 			}
+			this.core.noteLimit(pool);
 			this.core.table().add(request);
-			if (!submit.getPool().equals(this.core.identity().pool())) {
-				this.core.refuse(request, Failure.notRun(FailureCode.UNKNOWN_POOL,
-						"This agent serves pool " + this.core.identity().pool(), 0), true);
+			this.core.trace(request);
+			Optional<Refusal> obstacle = obstacle(request, verdict, pool);
+			if (obstacle.isPresent()) {
+				this.core.refuse(request, obstacle.get().provedFor(request));
 				return;
 			}
 			offer(request, pool, effects);
 		});
 	}
 
+	private Optional<Refusal> obstacle(AgentRequest request, SuspectTable.Verdict verdict, AgentCore.PoolNow pool) {
+		String served = this.core.identity().pool();
+		if (!request.submit().getPool().equals(served)) {
+			String detail = "This agent serves pool " + served + ", not " + request.submit().getPool();
+			return Optional.of(Refusal.redirect(Failure.notRun(FailureCode.UNKNOWN_POOL, detail, 0)));
+		}
+		boolean suspect = verdict.kind() != SuspectTable.Kind.FREE;
+		if (suspect && verdict.kind().mayRun() && !this.core.admission().hasRoom(pool.spec(), pool.load())) {
+			return Optional.of(Refusal.refuse(SuspectGate.suspect("There is no room for its run now", verdict)));
+		}
+		return SuspectGate.refusal(verdict);
+	}
+
 	private void offer(AgentRequest request, AgentCore.PoolNow pool, List<Runnable> effects) {
+		if (request.keyed() && this.keyed.isKnown(request, pool.spec().keyRetentionMs())) {
+			this.core.prepare(request, effects);
+			return;
+		}
 		boolean mayRedirect = !request.submit().getFinalTrial() && !request.keyed();
 		AdmissionControl.Verdict verdict = this.core.admission()
 			.offer(request, pool.spec(), pool.load(), mayRedirect, this.core.nowMs());
 		switch (verdict.decision()) {
 			case ADMIT -> this.core.launch(request, effects);
-			case QUEUE -> request.advance(AgentRequest.State.QUEUED);
-			case REDIRECT -> this.core.refuse(request, verdict.failure(), true);
-			case REFUSE -> this.core.refuse(request, verdict.failure(), false);
+			case QUEUE -> queued(request);
+			case REDIRECT -> this.core.refuse(request, Refusal.redirect(verdict.failure()).provedFor(request));
+			case REFUSE -> this.keyed.refuse(request, Refusal.refuse(verdict.failure()), effects);
 		}
 	}
 
+	private void queued(AgentRequest request) {
+		request.advance(AgentRequest.State.QUEUED);
+		this.core.step(request, "queued behind " + (this.core.admission().queue().size() - 1));
+		this.core.metrics().count("queuedTotal");
+	}
+
 	private void credit(Credit credit) {
 		this.core.act((effects) -> this.core.table().find(credit.getId()).ifPresent((request) -> {
 			request.stream().credit(Integer.toUnsignedLong(credit.getBytes()));
@@ -103,18 +160,20 @@
 		}));
 	}
 
-	private void cancel(Cancel cancel) {
-		this.core.act((effects) -> this.core.table().find(cancel.getId()).ifPresent(this::callerGone));
+	private void cancel(RequestId id) {
+		this.core.act((effects) -> this.core.table().find(id).ifPresent((request) -> callerGone(request, effects)));
 	}
 
-	private void callerGone(AgentRequest request) {
+	private void callerGone(AgentRequest request, List<Runnable> effects) {
+		this.core.step(request, "the caller went away");
 		if (this.core.admission().remove(request)) {
-			this.core.refuse(request, Failure.notRun(FailureCode.CANCELLED, "The caller went away", 0), false);
+			this.core.refuse(request, Refusal.cancelled().provedFor(request));
 			return;
 		}
 		request.detach(this.core.nowMs());
 		if (!request.keyed()) {
-			request.cancel();
+			request.cancel(effects);
+			this.core.settle(request);
 		}
 	}
 
@@ -126,27 +185,26 @@
 				sendResolution(link, resume.getId());
 				return;
 			}
-			AgentRequest request = found.get();
-			request.attach();
-			boolean kept = request.stream()
-				.resume(link, resume.getOffset(), Integer.toUnsignedLong(resume.getInitialCredit()));
-			if (!kept) {
-				Failure failure = Failure.unknown(FailureCode.BACKEND_FAILED,
-						"The response bytes from offset " + resume.getOffset() + " on are no longer kept", 0);
-				link.send(Frames.brokenOff(request.id(), request.stream().length(), failure,
-						this.core.admission().load()));
-				return;
-			}
-			request.regulate();
-			this.core.settle(request);
+			resume(found.get(), link, resume);
 		});
 	}
 
-	private void resolve(PeerLink link, Resolve resolve) {
-		this.core.act((effects) -> sendResolution(link, resolve.getId()));
+	private void resume(AgentRequest request, PeerLink link, Resume resume) {
+		this.core.step(request, "resumed at offset " + resume.getOffset());
+		request.attach();
+		long credit = Integer.toUnsignedLong(resume.getInitialCredit());
+		if (!request.stream().resume(link, resume.getOffset(), credit)) {
+			Failure failure = Failure.unknown(FailureCode.BACKEND_FAILED,
+					"The response bytes from offset " + resume.getOffset() + " on are no longer kept", 0);
+			long length = request.stream().length();
+			link.send(Frames.brokenOff(request.id(), length, failure, this.core.admission().load()));
+			return;
+		}
+		request.regulate();
+		this.core.settle(request);
 	}
 
-	private void sendResolution(PeerLink link, org.acaciamux.internal.protocol.wire.RequestId id) {
+	private void sendResolution(PeerLink link, RequestId id) {
 		link.send(Frame.newBuilder()
 			.setResolution(this.core.table().resolve(id, this.core.identity().incarnation(), this.core.nowMs()))
 			.build());
@@ -160,13 +218,104 @@
 
 	private void closed(PeerLink link) {
 		this.links.remove(link);
-		this.core.act((effects) -> {
-			long nowMs = this.core.nowMs();
-			for (AgentRequest request : new HashSet<>(this.core.table().of(link))) {
-				request.detach(nowMs);
-				this.core.settle(request);
-			}
-		});
+		this.core.act((effects) -> this.core.table().of(link).forEach((request) -> {
+			this.core.step(request, "the connection to the router was lost");
+			request.detach(this.core.nowMs());
+			this.core.settle(request);
+		}));
+	}
+
+	/**
+	 * Send what a link held back. To be called when the link becomes writable again;
+	 * without it, {@link #tick} sends.
+	 * @param link the link
+	 */
+	public void writable(PeerLink link) {
+		this.core.act((effects) -> this.core.table().of(link).forEach((request) -> {
+			request.stream().pump();
+			request.regulate();
+			this.core.settle(request);
+		}));
+	}
+
+	/**
+	 * Do the periodic work. To be called every {@link #TICK_MS}.
+	 */
+	public void tick() {
+		this.monitor.probeIfDue();
+		this.sweep.run(this.core.pool());
+		this.drain.tick();
+	}
+
+	/**
+	 * Refuse new work from now on and finish what was accepted.
+	 */
+	public void drain() {
+		this.drain.begin();
+	}
+
+	/**
+	 * Return what the drain waits for.
+	 * @return the progress; the process may stop once it is done
+	 */
+	public DrainProgress drainProgress() {
+		return this.drain.progress();
+	}
+
+	/**
+	 * Return what is queued, by organisation and priority.
+	 * @return one entry per organisation and priority with queued work
+	 */
+	public List<FairQueue.Backlog> backlog() {
+		return this.core.get(() -> this.core.admission().queue().backlog(this.core.nowMs()));
+	}
+
+	/**
+	 * Describe the state and recent requests, without bodies, headers, keys and chats.
+	 * @return the state as JSON
+	 */
+	public ObjectNode dump() {
+		return AgentDump.of(this.core, this.core.pool(), drainProgress(), suspects());
+	}
+
+	@Override
+	public int load() {
+		return this.core.get(this.core.admission()::load);
+	}
+
+	@Override
+	public int queued() {
+		return this.core.get(this.core.admission().queue()::size);
+	}
+
+	@Override
+	public boolean leaving() {
+		return this.core.get(this.core.admission()::draining);
+	}
+
+	@Override
+	public boolean backendDown() {
+		return this.core.get(() -> this.core.health().state() == BackendHealth.State.DOWN);
+	}
+
+	@Override
+	public List<SuspectEntry> suspects() {
+		return this.suspects.entries(this.core.nowMs());
+	}
+
+	@Override
+	public void mergeSuspects(List<SuspectEntry> entries) {
+		this.suspects.merge(entries, this.core.nowMs());
+	}
+
+	/**
+	 * The backend server and what belongs to it. Immutable and thread-safe.
+	 *
+	 * @param backend runs requests
+	 * @param cache the server's KV cache
+	 * @param offers sends caches to other agents during a drain
+	 */
+	public record Server(Backend backend, ChatCache cache, ChatOffers offers) {
 	}
 
 }
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/BackendHealth.java
@@ -0,0 +1,175 @@
+package org.acaciamux.internal.coordination.admission;
+
+import java.util.List;
+
+import org.acaciamux.internal.coordination.admission.Backend.Health;
+import org.acaciamux.internal.event.EventLog;
+
+/**
+ * Decides from probes, refused connections and broken responses whether the backend
+ * server is up, and whether it crashed. Invariants: a probe that was sent before a
+ * connection broke says nothing about the break; one crash is reported once. Not
+ * thread-safe.
+ *
+ * @param <T> the type of the requests in flight
+ */
+final class BackendHealth<T> {
+
+	/** Pause between probes of a server that is up. */
+	static final long UP_PROBE_MS = 1_000;
+
+	/** Pause between probes of a server that is down or being checked. */
+	static final long DOWN_PROBE_MS = 200;
+
+	/** Unanswered probes after which a server counts as down. */
+	static final int SILENT_LIMIT = 3;
+
+	private State state = State.UP;
+
+	private String incarnation = "";
+
+	private List<T> suspects = List.of();
+
+	private int lastProbe;
+
+	private int firstValidProbe;
+
+	private int silent;
+
+	private long nextProbeMs = Long.MIN_VALUE;
+
+	State state() {
+		return this.state;
+	}
+
+	String incarnation() {
+		return this.incarnation;
+	}
+
+	boolean isProbeDue(long nowMs) {
+		return nowMs >= this.nextProbeMs;
+	}
+
+	/**
+	 * A probe is being sent.
+	 * @param nowMs the time
+	 * @return the number of the probe
+	 */
+	int startProbe(long nowMs) {
+		this.nextProbeMs = nowMs + ((this.state == State.UP) ? UP_PROBE_MS : DOWN_PROBE_MS);
+		return ++this.lastProbe;
+	}
+
+	/**
+	 * A response broke off. The requests that are in flight now are the suspects if it
+	 * turns out that the server crashed.
+	 * @param inFlight the requests in flight, the broken one included
+	 * @param nowMs the time
+	 * @return the suspects of a crash that is certain already, else empty
+	 */
+	List<T> brokeOff(List<T> inFlight, long nowMs) {
+		if (this.suspects.isEmpty()) {
+			this.suspects = List.copyOf(inFlight);
+		}
+		if (this.state == State.DOWN) {
+			return takeSuspects();
+		}
+		check(nowMs);
+		return List.of();
+	}
+
+	/**
+	 * A connection was refused.
+	 * @param request the request that was not sent and hence is no suspect
+	 * @param nowMs the time
+	 */
+	void refused(T request, long nowMs) {
+		this.suspects = this.suspects.stream().filter((suspect) -> suspect != request).toList();
+		if (this.state == State.UP) {
+			check(nowMs);
+		}
+	}
+
+	private void check(long nowMs) {
+		this.state = State.CHECKING;
+		this.firstValidProbe = this.lastProbe + 1;
+		this.nextProbeMs = nowMs;
+	}
+
+	/**
+	 * A probe has a result.
+	 * @param probe the number of the probe
+	 * @param health the result
+	 * @return the suspects if this shows that the server crashed, else empty
+	 */
+	List<T> probed(int probe, Health health) {
+		if (probe < this.firstValidProbe) {
+			return List.of();
+		}
+		this.firstValidProbe = probe;
+		return switch (health.state()) {
+			case UP -> up(health.incarnation());
+			case REFUSED -> down("connections are refused");
+			case SILENT -> silent();
+		};
+	}
+
+	private List<T> up(String found) {
+		this.silent = 0;
+		boolean restarted = !this.incarnation.isEmpty() && !found.isEmpty() && !found.equals(this.incarnation);
+		if (restarted) {
+			EventLog.log(AgentEvent.BACKEND_RESTARTED, this.incarnation, found);
+		}
+		if (this.state == State.DOWN) {
+			EventLog.log(AgentEvent.BACKEND_UP);
+		}
+		this.incarnation = found.isEmpty() ? this.incarnation : found;
+		this.state = State.UP;
+		List<T> crashed = takeSuspects();
+		return restarted ? crashed : List.of();
+	}
+
+	private List<T> down(String reason) {
+		if (this.state != State.DOWN) {
+			EventLog.log(AgentEvent.BACKEND_DOWN, reason);
+		}
+		this.state = State.DOWN;
+		return takeSuspects();
+	}
+
+	private List<T> silent() {
+		this.silent++;
+		return (this.silent >= SILENT_LIMIT) ? down(this.silent + " probes were not answered") : List.of();
+	}
+
+	private List<T> takeSuspects() {
+		List<T> taken = this.suspects;
+		this.suspects = List.of();
+		return taken;
+	}
+
+	/**
+	 * State of the backend server. Immutable and thread-safe.
+	 */
+	enum State {
+
+		/** It takes work. */
+		UP(AdmissionControl.Gate.OPEN),
+		/** A connection broke or was refused, and a probe is on its way. */
+		CHECKING(AdmissionControl.Gate.PAUSED),
+		/** It takes no connections. */
+		DOWN(AdmissionControl.Gate.CLOSED);
+
+		private final AdmissionControl.Gate gate;
+
+		State(AdmissionControl.Gate gate) {
+			this.gate = gate;
+		}
+
+		AdmissionControl.Gate gate() {
+			return this.gate;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/BackendMonitor.java
@@ -0,0 +1,92 @@
+package org.acaciamux.internal.coordination.admission;
+
+import java.util.List;
+
+import org.acaciamux.Failure;
+import org.acaciamux.FailureCode;
+
+/**
+ * Probes the backend server and applies {@link BackendHealth} to admission and suspects.
+ * Thread-safe.
+ */
+final class BackendMonitor {
+
+	private static final long DOWN_RETRY_MS = 1_000;
+
+	private final AgentCore core;
+
+	private final Backend backend;
+
+	private final SuspectGate suspects;
+
+	BackendMonitor(AgentCore core, Backend backend, SuspectGate suspects) {
+		this.core = core;
+		this.backend = backend;
+		this.suspects = suspects;
+	}
+
+	/**
+	 * A connection was refused, so that a request was not sent. Not under the lock.
+	 * @param request the request
+	 */
+	void refused(AgentRequest request) {
+		this.core.act((effects) -> {
+			this.core.health().refused(request, this.core.nowMs());
+			applyGate(effects);
+			effects.add(this::probeIfDue);
+		});
+	}
+
+	/**
+	 * A response broke off; the request must still count as running. Not under the lock.
+	 */
+	void brokeOff() {
+		this.core.act((effects) -> {
+			List<AgentRequest> inFlight = this.core.table().running();
+			report(this.core.health().brokeOff(inFlight, this.core.nowMs()), effects);
+			applyGate(effects);
+			effects.add(this::probeIfDue);
+		});
+	}
+
+	/**
+	 * Send a probe if it is time for one. Not under the lock.
+	 */
+	void probeIfDue() {
+		this.core.act((effects) -> {
+			if (this.core.health().isProbeDue(this.core.nowMs())) {
+				int probe = this.core.health().startProbe(this.core.nowMs());
+				effects.add(() -> this.backend.probe().thenAccept((health) -> probed(probe, health)));
+			}
+		});
+	}
+
+	private void probed(int probe, Backend.Health health) {
+		AgentCore.PoolNow pool = this.core.pool();
+		this.core.act((effects) -> {
+			report(this.core.health().probed(probe, health), effects);
+			applyGate(effects);
+			this.core.admitQueued(pool, effects);
+		});
+	}
+
+	private void report(List<AgentRequest> crashed, List<Runnable> effects) {
+		if (!crashed.isEmpty()) {
+			this.core.metrics().count("crashes");
+			effects.add(() -> this.suspects.crashed(crashed));
+		}
+	}
+
+	private void applyGate(List<Runnable> effects) {
+		AdmissionControl.Gate gate = this.core.health().state().gate();
+		this.core.admission().gate(gate);
+		if (gate == AdmissionControl.Gate.CLOSED) {
+			Failure failure = Failure.notRun(FailureCode.BACKEND_DOWN,
+					"The backend server went down while the request was queued", DOWN_RETRY_MS);
+			for (AgentRequest queued : this.core.admission().clearQueue()) {
+				this.core.refuse(queued, Refusal.redirect(failure).provedFor(queued));
+			}
+		}
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/ChatHandover.java
@@ -0,0 +1,140 @@
+package org.acaciamux.internal.coordination.admission;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Optional;
+
+import com.google.protobuf.ByteString;
+
+import org.acaciamux.internal.event.EventLog;
+import org.acaciamux.internal.state.LockRank;
+import org.acaciamux.internal.state.RankedLock;
+
+/**
+ * Hands the caches of recent chats over when the agent drains. Invariants: at most
+ * {@link #RECENT} chats are remembered, and at most {@link #PARALLEL} transfers run at
+ * once. Thread-safe.
+ */
+final class ChatHandover {
+
+	/** Chats that are remembered, the most recent ones. */
+	static final int RECENT = 256;
+
+	/** Transfers at once, so that the backend server can finish its work beside them. */
+	static final int PARALLEL = 4;
+
+	/** Largest cache that fits into a frame. */
+	private static final int MAX_BYTES = 15 * 1024 * 1024;
+
+	private final RankedLock lock = new RankedLock(LockRank.LEAF);
+
+	private final LinkedHashMap<String, Boolean> recent = new LinkedHashMap<>(16, 0.75f, true);
+
+	private final Deque<String> waiting = new ArrayDeque<>();
+
+	private final String pool;
+
+	private final ChatCache cache;
+
+	private final ChatOffers offers;
+
+	private boolean started;
+
+	private int running;
+
+	ChatHandover(String pool, ChatCache cache, ChatOffers offers) {
+		this.pool = pool;
+		this.cache = cache;
+		this.offers = offers;
+	}
+
+	/**
+	 * The backend server completed a request of a chat.
+	 * @param chat the chat's identity, empty for a request without one
+	 */
+	void served(String chat) {
+		if (chat.isEmpty()) {
+			return;
+		}
+		this.lock.run(() -> {
+			this.recent.put(chat, true);
+			if (this.recent.size() > RECENT) {
+				Iterator<String> oldest = this.recent.keySet().iterator();
+				oldest.next();
+				oldest.remove();
+			}
+			if (this.started) {
+				this.waiting.addLast(chat);
+			}
+		});
+		advance();
+	}
+
+	void start() {
+		this.lock.run(() -> {
+			if (!this.started) {
+				this.started = true;
+				this.recent.keySet().forEach(this.waiting::addFirst);
+			}
+		});
+		advance();
+	}
+
+	private void advance() {
+		Optional<String> next = takeNext();
+		while (next.isPresent()) {
+			transfer(next.get());
+			next = takeNext();
+		}
+	}
+
+	private Optional<String> takeNext() {
+		return this.lock.get(() -> {
+			if (!this.started || this.running >= PARALLEL || this.waiting.isEmpty()) {
+				return Optional.empty();
+			}
+			this.running++;
+			return Optional.of(this.waiting.removeFirst());
+		});
+	}
+
+	private void transfer(String chat) {
+		this.cache.exportChat(chat).thenAccept((exported) -> {
+			if (exported.isEmpty() || exported.get().size() > MAX_BYTES) {
+				over(true);
+				return;
+			}
+			send(chat, exported.get());
+		});
+	}
+
+	private void send(String chat, ByteString exported) {
+		this.offers.offer(this.pool, chat, exported).thenAccept(this::over);
+	}
+
+	private void over(boolean done) {
+		this.lock.run(() -> this.running--);
+		if (!done) {
+			EventLog.log(AgentEvent.HANDOVER_FAILED, "the next candidate could not be reached");
+		}
+		advance();
+	}
+
+	/**
+	 * Return what is left to do.
+	 * @return transfers that wait or run
+	 */
+	int pending() {
+		return this.lock.get(() -> this.running + this.waiting.size());
+	}
+
+	/**
+	 * Give up what has not been started.
+	 */
+	void abandon() {
+		this.lock.run(this.waiting::clear);
+	}
+
+}
--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/Frames.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/Frames.java
@@ -59,14 +59,16 @@
 		return Frame.newBuilder().setEnd(end).build();
 	}
 
-	static Refused.Builder refused(RequestId id, Failure failure, boolean redirect) {
+	static Refused.Builder refused(RequestId id, Refusal refusal) {
+		Failure failure = refusal.failure();
 		return Refused.newBuilder()
 			.setId(id)
 			.setFailureCode(failure.code().code())
 			.setDetail(failure.detail())
 			.setOutcome(wire(failure.outcome()))
 			.setRetryAfterMs((int) Math.min(Integer.MAX_VALUE, failure.retryAfterMs()))
-			.setRedirect(redirect);
+			.setRedirect(refusal.redirect())
+			.setOwner(refusal.target());
 	}
 
 	static WireOutcome wire(Outcome outcome) {
--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/RequestRunner.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/RequestRunner.java
@@ -9,55 +9,58 @@
 import org.acaciamux.FailureCode;
 import org.acaciamux.Outcome;
 import org.acaciamux.internal.coordination.claim.CallClaims;
-import org.acaciamux.internal.coordination.claim.CallDigest;
 import org.acaciamux.internal.coordination.claim.StoredAnswer;
+import org.acaciamux.internal.event.EventLog;
 import org.acaciamux.internal.protocol.wire.Header;
 import org.acaciamux.internal.protocol.wire.Submit;
 
 /**
- * Runs admitted requests: claims keyed calls, sends requests to the backend server and
- * its responses to the router. Invariants: a keyed call is sent only after
- * {@link CallClaims.Decision.Run}; the place under the load bound is given back when the
+ * Runs requests: passes them by the suspects and the claims, sends them to the backend
+ * server and its responses to the router. Invariants: a request is sent at most once, and
+ * only while it holds a place under the load bound; the place is given back when the
  * backend server no longer runs the request. Thread-safe.
  */
 final class RequestRunner {
 
-	/** Longest body of a keyed call that is kept for attached and repeated calls. */
-	static final int MAX_STORED_BYTES = 1024 * 1024;
+	private static final long DOWN_RETRY_MS = 1_000;
 
 	private final AgentCore core;
 
 	private final Backend backend;
 
-	private final Optional<CallClaims> claims;
+	private final KeyedCalls keyed;
 
-	RequestRunner(AgentCore core, Backend backend, Optional<CallClaims> claims) {
+	private final SuspectGate suspects;
+
+	private final BackendMonitor monitor;
+
+	private final ChatHandover handover;
+
+	RequestRunner(AgentCore core, Backend backend, KeyedCalls keyed, SuspectGate suspects, BackendMonitor monitor,
+			ChatHandover handover) {
 		this.core = core;
 		this.backend = backend;
-		this.claims = claims;
+		this.keyed = keyed;
+		this.suspects = suspects;
+		this.monitor = monitor;
+		this.handover = handover;
 	}
 
 	/**
-	 * Start an admitted request. Not under the lock.
+	 * Start a request. Not under the lock.
 	 * @param request the request
 	 */
 	void launch(AgentRequest request) {
-		if (!request.keyed()) {
-			run(request);
-			return;
+		Optional<Refusal> refusal = this.suspects.enter(request, this.core.pool());
+		if (refusal.isPresent()) {
+			drop(request, refusal.get().provedFor(request));
 		}
-		if (this.claims.isEmpty()) {
-			drop(request, Failure.notRun(FailureCode.CLAIMS_UNAVAILABLE, "This agent serves no keyed calls", 0), false);
-			return;
+		else if (request.keyed()) {
+			this.keyed.claim(request, (decision) -> decided(request, decision));
+		}
+		else {
+			run(request);
 		}
-		CallClaims.KeyedCall call = keyedCall(request);
-		this.claims.get().claim(call).thenAccept((decision) -> decided(request, decision));
-	}
-
-	static CallClaims.KeyedCall keyedCall(AgentRequest request) {
-		Submit submit = request.submit();
-		CallDigest digest = CallDigest.of(submit.getMethod(), submit.getPath(), submit.getBody().toByteArray());
-		return new CallClaims.KeyedCall(submit.getPool(), submit.getIdempotencyKey(), digest, submit.getAttempt() == 1);
 	}
 
 	private void decided(AgentRequest request, CallClaims.Decision decision) {
@@ -71,16 +74,19 @@
 			attach(request, attach);
 		}
 		else if (decision instanceof CallClaims.Decision.Refuse refuse) {
-			drop(request, refuse.failure(), refuse.failure().code() == FailureCode.NOT_OWNER);
+			boolean redirect = refuse.failure().code() == FailureCode.NOT_OWNER;
+			drop(request, new Refusal(refuse.failure(), redirect, ""));
 		}
 	}
 
 	private void attach(AgentRequest request, CallClaims.Decision.Attach attach) {
 		AgentCore.PoolNow pool = this.core.pool();
 		this.core.act((effects) -> {
-			this.core.release(request, false);
-			request.advance(AgentRequest.State.RUNNING);
-			this.core.admitQueued(pool, effects);
+			leave(request, pool, effects);
+			if (!request.isOver()) {
+				request.advance(AgentRequest.State.RUNNING);
+				this.core.step(request, "attached to the running call");
+			}
 		});
 		attach.end().thenAccept((end) -> {
 			end.peek((answer) -> deliver(request, answer));
@@ -91,147 +97,179 @@
 	private void deliver(AgentRequest request, StoredAnswer answer) {
 		AgentCore.PoolNow pool = this.core.pool();
 		this.core.act((effects) -> {
-			this.core.release(request, false);
-			request.stream()
-				.head(answer.status(), answer.headers(), this.core.identity().id(), this.core.admission().load(), true);
-			request.stream().data(answer.body());
-			this.core.end(request, null);
-			this.core.admitQueued(pool, effects);
+			leave(request, pool, effects);
+			if (!request.isOver()) {
+				request.stream()
+					.head(answer.status(), answer.headers(), this.core.identity().id(), this.core.admission().load(),
+							true);
+				request.stream().data(answer.body());
+				this.core.end(request, null);
+			}
 		});
 	}
 
-	private void drop(AgentRequest request, Failure failure, boolean redirect) {
+	private void drop(AgentRequest request, Refusal refusal) {
 		AgentCore.PoolNow pool = this.core.pool();
 		this.core.act((effects) -> {
-			this.core.release(request, false);
-			this.core.refuse(request, failure, redirect);
-			this.core.admitQueued(pool, effects);
+			leave(request, pool, effects);
+			this.core.refuse(request, refusal);
 		});
 	}
 
+	private void leave(AgentRequest request, AgentCore.PoolNow pool, List<Runnable> effects) {
+		this.core.release(request, false);
+		effects.add(() -> this.suspects.leave(request));
+		this.core.admitQueued(pool, effects);
+	}
+
 	private void run(AgentRequest request) {
+		AgentCore.PoolNow pool = this.core.pool();
 		this.core.act((effects) -> {
-			if (request.cancelled()) {
-				effects
-					.add(() -> drop(request, Failure.notRun(FailureCode.CANCELLED, "The caller went away", 0), false));
+			Optional<Refusal> obstacle = obstacle(request, pool);
+			if (obstacle.isPresent()) {
+				effects.add(() -> giveBack(request, obstacle.get()));
 				return;
 			}
 			request.advance(AgentRequest.State.RUNNING);
 			request.progress(this.core.nowMs());
+			this.core.step(request, "sent to the backend server");
 			effects.add(() -> start(request));
 		});
 	}
 
+	private Optional<Refusal> obstacle(AgentRequest request, AgentCore.PoolNow pool) {
+		if (request.cancelled()) {
+			return Optional.of(Refusal.cancelled());
+		}
+		if (request.deadlineMs() <= this.core.nowMs()) {
+			return Optional.of(Refusal.refuse(Failure.notRun(FailureCode.DEADLINE_EXCEEDED,
+					"The deadline passed before the request was sent", 0)));
+		}
+		if (request.admitted()) {
+			return Optional.empty();
+		}
+		// A repeated key that was expected to attach or replay, but has to run after all.
+		AdmissionControl.Verdict verdict = this.core.admission()
+			.offer(request, pool.spec(), pool.load(), true, this.core.nowMs());
+		request.admitted(verdict.decision() == AdmissionControl.Decision.ADMIT);
+		return Optional.ofNullable(verdict.failure()).map(Refusal::refuse);
+	}
+
+	private void giveBack(AgentRequest request, Refusal refusal) {
+		if (request.keyed()) {
+			this.keyed.failed(request, Outcome.NOT_RUN);
+		}
+		drop(request, refusal.provedFor(request));
+	}
+
 	private void start(AgentRequest request) {
 		Submit submit = request.submit();
-		String id = Long.toHexString(submit.getId().getIncarnation()) + "-" + submit.getId().getSequence();
-		Backend.BackendRequest message = new Backend.BackendRequest(id, submit.getPriority(), !request.keyed(),
-				submit.getMethod(), submit.getPath(), submit.getHeadersList(), submit.getBody());
+		Backend.BackendRequest message = new Backend.BackendRequest(RequestTrace.name(submit.getId()),
+				submit.getPriority(), !request.keyed(), submit.getMethod(), submit.getPath(), submit.getHeadersList(),
+				submit.getBody());
 		Backend.Call call = this.backend.start(message, new Response(request));
-		this.core.act((effects) -> request.started(call));
+		this.core.act((effects) -> request.started(call, effects));
 	}
 
 	/**
-	 * Passes a response of the backend server on.
+	 * Passes a response of the backend server on. Confined to the thread that reads it.
 	 */
 	private final class Response implements Backend.Listener {
 
 		private final AgentRequest request;
 
-		private int status;
-
-		private List<Header> headers = List.of();
+		private final KeyedCalls.Collector collector;
 
-		private ByteString body = ByteString.EMPTY;
-
-		private boolean tooLong;
+		private final AgentCore core = RequestRunner.this.core;
 
 		private Response(AgentRequest request) {
 			this.request = request;
+			this.collector = RequestRunner.this.keyed.new Collector(request);
 		}
 
 		@Override
 		public void head(int status, List<Header> headers) {
-			this.status = status;
-			this.headers = headers;
-			AgentCore core = RequestRunner.this.core;
-			core.act((effects) -> {
-				this.request.progress(core.nowMs());
-				this.request.stream().head(status, headers, core.identity().id(), core.admission().load(), false);
+			this.collector.head(status, headers);
+			this.core.act((effects) -> {
+				this.request.progress(this.core.nowMs());
+				if (!this.request.isOver()) {
+					this.core.step(this.request, "status " + status);
+					this.core.metrics().time("firstByte", this.core.nowMs() - this.request.arrivedMs());
+					this.request.stream()
+						.head(status, headers, this.core.identity().id(), this.core.admission().load(), false);
+				}
 			});
 		}
 
 		@Override
 		public void data(ByteString data) {
-			collect(data);
-			AgentCore core = RequestRunner.this.core;
-			core.act((effects) -> {
-				this.request.progress(core.nowMs());
-				if (this.request.state() == AgentRequest.State.RUNNING) {
+			this.collector.data(data);
+			this.core.act((effects) -> {
+				this.request.progress(this.core.nowMs());
+				if (!this.request.isOver()) {
 					this.request.stream().data(data);
 					this.request.regulate();
 				}
 			});
 		}
 
-		private void collect(ByteString data) {
-			if (!this.request.keyed() || this.tooLong) {
-				return;
-			}
-			this.tooLong = this.body.size() + data.size() > MAX_STORED_BYTES;
-			this.body = this.tooLong ? ByteString.EMPTY : this.body.concat(data);
-		}
-
 		@Override
 		public void end() {
-			finish(true, null);
-			if (this.request.keyed()) {
-				tellAnswer();
-			}
-		}
-
-		private void tellAnswer() {
-			CallClaims.KeyedCall call = keyedCall(this.request);
-			CallClaims ledger = RequestRunner.this.claims.orElseThrow();
-			if (this.tooLong) {
-				ledger.failed(call, Outcome.UNKNOWN);
-				return;
-			}
-			ledger.answered(call, new StoredAnswer(this.status, this.headers, this.body));
+			this.collector.end();
+			RequestRunner.this.suspects.completed(this.request);
+			RequestRunner.this.handover.served(this.request.submit().getChat());
+			AgentCore.PoolNow pool = this.core.pool();
+			this.core.act((effects) -> {
+				this.core.release(this.request, true);
+				over(null, pool, effects);
+			});
 		}
 
 		@Override
 		public void failed(Backend.Break cause, String detail) {
-			boolean notSent = cause == Backend.Break.NOT_SENT;
 			if (this.request.keyed()) {
-				Outcome outcome = notSent ? Outcome.NOT_RUN : Outcome.UNKNOWN;
-				RequestRunner.this.claims.orElseThrow().failed(keyedCall(this.request), outcome);
+				boolean notSent = cause == Backend.Break.NOT_SENT;
+				RequestRunner.this.keyed.failed(this.request, notSent ? Outcome.NOT_RUN : Outcome.UNKNOWN);
 			}
-			if (notSent) {
-				drop(this.request, notSentFailure(detail), !this.request.keyed());
-				return;
+			switch (cause) {
+				case NOT_SENT -> notSent(detail);
+				case BROKEN_OFF -> brokenOff(detail);
+				case CANCELLED -> cancelled(detail);
 			}
-			FailureCode code = (cause == Backend.Break.CANCELLED) ? FailureCode.CANCELLED : FailureCode.BACKEND_FAILED;
-			finish(false, Failure.unknown(code, detail, 0));
 		}
 
-		private Failure notSentFailure(String detail) {
-			Failure failure = Failure.notRun(FailureCode.BACKEND_DOWN, detail, 1_000);
-			boolean proved = !this.request.keyed() || this.request.submit().getAttempt() == 1;
-			return proved ? failure : failure.withOutcome(Outcome.UNKNOWN);
+		private void notSent(String detail) {
+			RequestRunner.this.monitor.refused(this.request);
+			Failure failure = Failure.notRun(FailureCode.BACKEND_DOWN, detail, DOWN_RETRY_MS);
+			drop(this.request, Refusal.redirect(failure).provedFor(this.request));
 		}
 
-		private void finish(boolean served, Failure failure) {
-			AgentCore core = RequestRunner.this.core;
-			AgentCore.PoolNow pool = core.pool();
-			core.act((effects) -> {
-				core.release(this.request, served);
-				core.end(this.request, failure);
-				core.settle(this.request);
-				core.admitQueued(pool, effects);
+		private void brokenOff(String detail) {
+			EventLog.log(AgentEvent.RESPONSE_BROKEN_OFF, RequestTrace.name(this.request.id()),
+					this.request.stream().length(), detail);
+			RequestRunner.this.monitor.brokeOff();
+			AgentCore.PoolNow pool = this.core.pool();
+			this.core.act((effects) -> {
+				this.core.release(this.request, false);
+				over(Failure.unknown(FailureCode.BACKEND_FAILED, detail, 0), pool, effects);
 			});
 		}
 
+		private void cancelled(String detail) {
+			AgentCore.PoolNow pool = this.core.pool();
+			this.core.act((effects) -> {
+				this.core.release(this.request, false);
+				over(Failure.unknown(FailureCode.CANCELLED, detail, 0), pool, effects);
+			});
+		}
+
+		private void over(Failure failure, AgentCore.PoolNow pool, List<Runnable> effects) {
+			this.core.end(this.request, failure);
+			this.core.settle(this.request);
+			effects.add(() -> RequestRunner.this.suspects.leave(this.request));
+			this.core.admitQueued(pool, effects);
+		}
+
 	}
 
 }
--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/RequestTable.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/RequestTable.java
@@ -70,6 +70,16 @@
 		return new ArrayList<>(this.started);
 	}
 
+	/**
+	 * Return the requests that the backend server runs.
+	 * @return a copy
+	 */
+	List<AgentRequest> running() {
+		return this.started.stream()
+			.filter((request) -> request.admitted() && request.state() != AgentRequest.State.CLAIMING)
+			.toList();
+	}
+
 	List<AgentRequest> matching(Predicate<AgentRequest> filter) {
 		return this.requests.values().stream().filter(filter).toList();
 	}
@@ -107,7 +117,7 @@
 	 */
 	void linger(AgentRequest request, long nowMs) {
 		if (this.started.remove(request)) {
-			long bytes = request.stream().retained();
+			long bytes = request.stream().retained() + request.submit().getBody().size();
 			this.lingering.addLast(new Lingering(request, bytes, nowMs + LINGER_MS));
 			this.lingeringBytes += bytes;
 			expire(nowMs);
@@ -159,8 +169,22 @@
 		};
 	}
 
-	int size() {
-		return this.requests.size();
+	/**
+	 * Return how many requests are not finished yet, apart from those in the queue.
+	 * @return the requests whose claim is being written, that run, or that were not sent
+	 * completely
+	 */
+	int unfinished() {
+		return this.started.size();
+	}
+
+	/**
+	 * Return how long the oldest request has run.
+	 * @param nowMs the time
+	 * @return milliseconds, 0 if none runs
+	 */
+	long oldestMs(long nowMs) {
+		return this.started.stream().mapToLong((request) -> nowMs - request.arrivedMs()).max().orElse(0);
 	}
 
 	int remembered() {
--- a/server/src/main/java/org/acaciamux/internal/transport/http/BackendClient.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/BackendClient.java
@@ -1,21 +1,24 @@
 package org.acaciamux.internal.transport.http;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoopGroup;
 
 import org.acaciamux.internal.coordination.admission.Backend;
+import org.acaciamux.internal.coordination.admission.ChatCache;
 
 /**
  * HTTP client to the backend server beside this agent. Invariants: a request is written
  * at most once, and {@link Backend.Break#NOT_SENT} is reported only if no byte of it was
  * written. Thread-safe.
  */
-public final class BackendClient implements Backend, AutoCloseable {
+public final class BackendClient implements Backend, ChatCache, AutoCloseable {
 
 	private static final int OK = 200;
 
@@ -65,6 +68,24 @@
 		return control("GET", "/v1/health", ByteString.EMPTY).thenApply(BackendControl.Reply::health);
 	}
 
+	@Override
+	public CompletionStage<Optional<ByteString>> exportChat(String chat) {
+		if (!this.settings.model()) {
+			return CompletableFuture.completedFuture(Optional.empty());
+		}
+		String body = JsonNodeFactory.instance.objectNode().put("chat", chat).toString();
+		return control("POST", "/v1/kv/export", ByteString.copyFromUtf8(body))
+			.thenApply((reply) -> Optional.of(reply.body()).filter((exported) -> reply.ok()));
+	}
+
+	@Override
+	public CompletionStage<Boolean> importChat(ByteString cache) {
+		if (!this.settings.model()) {
+			return CompletableFuture.completedFuture(false);
+		}
+		return control("POST", "/v1/kv/import", cache).thenApply(BackendControl.Reply::ok);
+	}
+
 	private CompletableFuture<BackendControl.Reply> control(String method, String path, ByteString body) {
 		BackendControl control = new BackendControl();
 		BackendRequest request = new BackendRequest("control", PRIORITY_OF_CONTROL, false, method, path, List.of(),
