Count a crash once, and test the agent under random faults

The requests in flight in one crash were counted again for each further broken response, because the probe's verdict can come before all breaks were seen. Ruled out: the merge of suspects between agents; with one agent's counts alone the double count is visible. Change: BackendHealth remembers which requests it has reported. SuspectTable calls onNews, so that the exchange can tell the other agents at once.

--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/BackendHealth.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/BackendHealth.java
@@ -1,6 +1,9 @@
 package org.acaciamux.internal.coordination.admission;
 
+import java.util.Collections;
+import java.util.IdentityHashMap;
 import java.util.List;
+import java.util.Set;
 
 import org.acaciamux.internal.coordination.admission.Backend.Health;
 import org.acaciamux.internal.event.EventLog;
@@ -30,6 +33,8 @@
 
 	private List<T> suspects = List.of();
 
+	private final Set<T> reported = Collections.newSetFromMap(new IdentityHashMap<>());
+
 	private int lastProbe;
 
 	private int firstValidProbe;
@@ -63,18 +68,25 @@
 	/**
 	 * A response broke off. The requests that are in flight now are the suspects if it
 	 * turns out that the server crashed.
+	 * @param broken the request whose response broke off
 	 * @param inFlight the requests in flight, the broken one included
 	 * @param nowMs the time
 	 * @return the suspects of a crash that is certain already, else empty
 	 */
-	List<T> brokeOff(List<T> inFlight, long nowMs) {
+	List<T> brokeOff(T broken, List<T> inFlight, long nowMs) {
+		this.reported.retainAll(inFlight);
+		if (this.reported.remove(broken)) {
+			return List.of();
+		}
 		if (this.suspects.isEmpty()) {
-			this.suspects = List.copyOf(inFlight);
+			this.suspects = inFlight.stream().filter((request) -> !this.reported.contains(request)).toList();
 		}
 		if (this.state == State.DOWN) {
 			return takeSuspects();
 		}
-		check(nowMs);
+		if (this.state == State.UP) {
+			check(nowMs);
+		}
 		return List.of();
 	}
 
@@ -125,8 +137,11 @@
 		}
 		this.incarnation = found.isEmpty() ? this.incarnation : found;
 		this.state = State.UP;
-		List<T> crashed = takeSuspects();
-		return restarted ? crashed : List.of();
+		if (restarted) {
+			return takeSuspects();
+		}
+		this.suspects = List.of();
+		return List.of();
 	}
 
 	private List<T> down(String reason) {
@@ -145,6 +160,7 @@
 	private List<T> takeSuspects() {
 		List<T> taken = this.suspects;
 		this.suspects = List.of();
+		this.reported.addAll(taken);
 		return taken;
 	}
 
--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/BackendMonitor.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/BackendMonitor.java
@@ -38,12 +38,13 @@
 	}
 
 	/**
-	 * A response broke off; the request must still count as running. Not under the lock.
+	 * A response broke off. Not under the lock.
+	 * @param request the request, which must still count as running
 	 */
-	void brokeOff() {
+	void brokeOff(AgentRequest request) {
 		this.core.act((effects) -> {
 			List<AgentRequest> inFlight = this.core.table().running();
-			report(this.core.health().brokeOff(inFlight, this.core.nowMs()), effects);
+			report(this.core.health().brokeOff(request, inFlight, this.core.nowMs()), effects);
 			applyGate(effects);
 			effects.add(this::probeIfDue);
 		});
--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/RequestRunner.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/RequestRunner.java
@@ -247,7 +247,7 @@
 		private void brokenOff(String detail) {
 			EventLog.log(AgentEvent.RESPONSE_BROKEN_OFF, RequestTrace.name(this.request.id()),
 					this.request.stream().length(), detail);
-			RequestRunner.this.monitor.brokeOff();
+			RequestRunner.this.monitor.brokeOff(this.request);
 			AgentCore.PoolNow pool = this.core.pool();
 			this.core.act((effects) -> {
 				this.core.release(this.request, false);
--- a/server/src/main/java/org/acaciamux/internal/coordination/quarantine/SuspectTable.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/quarantine/SuspectTable.java
@@ -43,6 +43,9 @@
 
 	private final LongFunction<Optional<String>> designated;
 
+	private volatile Runnable onNews = () -> {
+	};
+
 	private Long isolated;
 
 	private volatile boolean empty = true;
@@ -59,6 +62,16 @@
 		this.designated = designated;
 	}
 
+	/**
+	 * Set what is called, without a lock, when a crash or a clearing was noted here. The
+	 * load exchange should send the entries at once, because the caller may send the
+	 * request again before the next round.
+	 * @param action the action; must not block
+	 */
+	public void onNews(Runnable action) {
+		this.onNews = action;
+	}
+
 	/**
 	 * Return whether no request is suspect, so that fingerprints need not be computed.
 	 * @return whether the table is empty
@@ -142,13 +155,18 @@
 	 * @param nowMs the time
 	 */
 	public void completed(long fingerprint, long nowMs) {
-		this.lock.run(() -> {
+		boolean cleared = this.lock.get(() -> {
 			Suspect suspect = this.suspects.get(fingerprint);
-			if (suspect != null && suspect.isSuspect()) {
+			boolean found = suspect != null && suspect.isSuspect();
+			if (found) {
 				put(suspect.clear(nowMs + KEEP_MS));
-				EventLog.log(QuarantineEvent.CLEARED, fingerprint);
 			}
+			return found;
 		});
+		if (cleared) {
+			EventLog.log(QuarantineEvent.CLEARED, fingerprint);
+			this.onNews.run();
+		}
 	}
 
 	/**
@@ -168,6 +186,7 @@
 			put(next);
 			logQuarantine(known, next, nowMs);
 		}));
+		this.onNews.run();
 	}
 
 	private static void logQuarantine(Suspect known, Suspect next, long nowMs) {
--- /dev/null
+++ b/server/src/test/java/org/acaciamux/internal/coordination/admission/CrashTests.java
@@ -0,0 +1,265 @@
+package org.acaciamux.internal.coordination.admission;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+
+import com.google.protobuf.ByteString;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import org.acaciamux.internal.coordination.membership.PoolLoadView.PoolLoad;
+import org.acaciamux.internal.protocol.wire.Refused;
+import org.acaciamux.internal.protocol.wire.RequestId;
+import org.acaciamux.internal.protocol.wire.SuspectEntry;
+
+import static org.testng.Assert.assertTrue;
+
+/**
+ * A request that crashes each server it touches, sent again through several agents among
+ * innocent requests. The checkers read only what the backend servers and the callers saw.
+ */
+public class CrashTests {
+
+	private static final int AGENTS = 4;
+
+	private static final long STEP_MS = 10;
+
+	private static final long RUN_MS = 30_000;
+
+	private static final int FIXED_SEEDS = 20;
+
+	private static final int MOST_CRASHES = 4;
+
+	private static final String POISON = "poison";
+
+	@DataProvider
+	public Object[][] seeds() {
+		long given = Long.getLong("acaciamux.seed", 0);
+		if (given != 0) {
+			return new Object[][] { { given } };
+		}
+		Object[][] seeds = new Object[FIXED_SEEDS][];
+		for (int i = 0; i < FIXED_SEEDS; i++) {
+			seeds[i] = new Object[] { i + 1L };
+		}
+		return seeds;
+	}
+
+	@Test(dataProvider = "seeds")
+	public void aPoisonousRequestCrashesFewServersAndInnocentsComplete(long seed) {
+		World world = new World(seed);
+		world.run();
+		assertTrue(world.crashes >= 1, "seed " + seed + " crashed nothing");
+		assertTrue(world.crashes <= MOST_CRASHES, "seed " + seed + " crashed " + world.crashes + " servers");
+		assertTrue(world.violations.isEmpty(), "seed " + seed + ": " + world.violations);
+		assertTrue(world.open.isEmpty(), "seed " + seed + " never completed " + world.open);
+		assertTrue(world.quarantined, "seed " + seed + " did not quarantine the request");
+	}
+
+	/**
+	 * The agents, the exchange between them, and the callers.
+	 */
+	private static final class World {
+
+		private final List<AgentFixture> agents = new ArrayList<>();
+
+		private final List<boolean[]> down = new ArrayList<>();
+
+		private final PriorityQueue<Event> events = new PriorityQueue<>(
+				(left, right) -> Long.compare(left.atMs, right.atMs));
+
+		private final List<String> violations = new ArrayList<>();
+
+		private final Set<String> open = new HashSet<>();
+
+		private final Map<RequestId, String> sent = new HashMap<>();
+
+		private final Set<RequestId> settled = new HashSet<>();
+
+		private final Random random;
+
+		private long nowMs = 1_000;
+
+		private long sequence;
+
+		private int crashes;
+
+		private boolean quarantined;
+
+		private World(long seed) {
+			this.random = new Random(seed);
+			for (int i = 0; i < AGENTS; i++) {
+				int index = i;
+				this.down.add(new boolean[AGENTS]);
+				AgentFixture agent = new AgentFixture("agent-" + i, (fingerprint) -> designated(index, fingerprint));
+				agent.backend.onStart = (run) -> after(1, () -> started(index, run));
+				agent.suspects.onNews(() -> exchange(index));
+				this.agents.add(agent);
+			}
+		}
+
+		private Optional<String> designated(int viewer, long fingerprint) {
+			Optional<String> best = Optional.empty();
+			long bestRank = 0;
+			for (int i = 0; i < AGENTS; i++) {
+				boolean healthy = (i == viewer) ? !this.agents.get(i).agent.backendDown() : !this.down.get(viewer)[i];
+				long rank = new Random(fingerprint * 31 + i).nextLong() >>> 1;
+				if (healthy && (best.isEmpty() || rank > bestRank)) {
+					best = Optional.of("agent-" + i);
+					bestRank = rank;
+				}
+			}
+			return best;
+		}
+
+		private void run() {
+			long poisonAt = 3_000 + this.random.nextInt(3_000);
+			after(poisonAt, () -> send(POISON, this.random.nextInt(AGENTS)));
+			while (this.nowMs < RUN_MS) {
+				step();
+				if (this.nowMs < RUN_MS / 2 && this.random.nextInt(8) == 0) {
+					String body = "innocent-" + this.sequence;
+					this.open.add(body);
+					send(body, this.random.nextInt(AGENTS));
+				}
+			}
+			long end = this.nowMs + 40_000;
+			while (this.nowMs < end && !this.open.isEmpty()) {
+				step();
+			}
+		}
+
+		private void step() {
+			this.nowMs += STEP_MS;
+			for (int i = 0; i < AGENTS; i++) {
+				refreshView(i);
+			}
+			while (!this.events.isEmpty() && this.events.peek().atMs <= this.nowMs) {
+				this.events.poll().action.run();
+			}
+			for (int i = 0; i < AGENTS; i++) {
+				if (this.nowMs % AgentService.TICK_MS == 0) {
+					this.agents.get(i).agent.tick();
+				}
+				if (this.nowMs % 500 == 0) {
+					exchange(i);
+				}
+				collect(i);
+			}
+		}
+
+		private void refreshView(int index) {
+			AgentFixture agent = this.agents.get(index);
+			agent.nowMs = this.nowMs;
+			int healthy = 0;
+			for (int other = 0; other < AGENTS; other++) {
+				healthy += (other != index && !this.down.get(index)[other]) ? 1 : 0;
+			}
+			agent.load = new PoolLoad(AGENTS, 4 * AGENTS, healthy);
+		}
+
+		private void exchange(int from) {
+			boolean backendDown = this.agents.get(from).agent.backendDown();
+			List<SuspectEntry> entries = this.agents.get(from).agent.suspects();
+			for (int to = 0; to < AGENTS; to++) {
+				int target = to;
+				if (to != from && this.random.nextInt(10) != 0) {
+					after(1 + this.random.nextInt(50), () -> {
+						this.down.get(target)[from] = backendDown;
+						this.agents.get(target).agent.mergeSuspects(entries);
+					});
+				}
+			}
+		}
+
+		private void after(long delayMs, Runnable action) {
+			this.events.add(new Event(this.nowMs + delayMs, action));
+		}
+
+		private void send(String body, int index) {
+			AgentFixture agent = this.agents.get(index);
+			RequestId id = RequestId.newBuilder().setIncarnation(1).setSequence(++this.sequence).build();
+			this.sent.put(id, body);
+			agent.submit((submit) -> submit.setId(id).setBody(ByteString.copyFromUtf8(body)));
+		}
+
+		private void started(int index, FakeBackend.Run run) {
+			if (run.over) {
+				return;
+			}
+			if (run.body().equals(POISON)) {
+				after(this.random.nextInt(100), () -> crash(index, run));
+				return;
+			}
+			after(50 + this.random.nextInt(400), () -> {
+				if (!run.over) {
+					run.answer("ok");
+				}
+			});
+		}
+
+		private void crash(int index, FakeBackend.Run poison) {
+			FakeBackend backend = this.agents.get(index).backend;
+			if (poison.over) {
+				return;
+			}
+			this.crashes++;
+			boolean othersUp = this.agents.stream()
+				.anyMatch((agent) -> agent.backend != backend && !agent.backend.refusing);
+			if (!othersUp) {
+				this.violations.add("the last healthy server crashed at " + this.nowMs);
+			}
+			boolean restartsAtOnce = this.random.nextBoolean();
+			backend.refusing = !restartsAtOnce;
+			backend.crash("incarnation-" + this.crashes);
+			after(500 + this.random.nextInt(3_000), () -> backend.refusing = false);
+		}
+
+		private void collect(int index) {
+			FakeLink link = this.agents.get(index).link;
+			this.sent.forEach((id, body) -> {
+				if (link.finals(id) > 0 && this.settled.add(id)) {
+					answer(id, body, index, link);
+				}
+			});
+			this.sent.keySet().removeAll(this.settled);
+			link.sent.clear();
+		}
+
+		private void answer(RequestId id, String body, int index, FakeLink link) {
+			Optional<Refused> refused = link.refused(id);
+			if (refused.isEmpty() && link.end(id).orElseThrow().getFailureCode().isEmpty()) {
+				this.open.remove(body);
+				return;
+			}
+			String code = refused.map(Refused::getFailureCode).orElse("backend-failed");
+			if (code.equals("request-quarantined")) {
+				noteQuarantine(body);
+				return;
+			}
+			String target = refused.map(Refused::getOwner).orElse("");
+			int next = target.isEmpty() ? this.random.nextInt(AGENTS) : Integer.parseInt(target.substring(6));
+			long pauseMs = target.isEmpty() ? 200 + this.random.nextInt(1_000) : 5;
+			after(pauseMs, () -> send(body, next));
+		}
+
+		private void noteQuarantine(String body) {
+			this.quarantined |= body.equals(POISON);
+			if (!body.equals(POISON)) {
+				this.violations.add(body + " is quarantined");
+			}
+		}
+
+	}
+
+	private record Event(long atMs, Runnable action) {
+	}
+
+}
--- /dev/null
+++ b/server/src/test/java/org/acaciamux/internal/transport/http/BackendClientTests.java
@@ -0,0 +1,315 @@
+package org.acaciamux.internal.transport.http;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.google.protobuf.ByteString;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.Test;
+
+import org.acaciamux.internal.coordination.admission.Backend;
+import org.acaciamux.internal.protocol.wire.Header;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * Failures of the connection to a backend server, over real sockets.
+ */
+public class BackendClientTests {
+
+	private static final int WAIT_S = 30;
+
+	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+
+	@AfterClass
+	public void stop() {
+		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+	}
+
+	@Test
+	public void aChunkedResponseArrivesCompleteAndTheConnectionIsUsedAgain() throws Exception {
+		try (Script server = new Script()) {
+			BackendClient client = client(server.port(), false);
+			for (int i = 0; i < 2; i++) {
+				Response response = start(client, true);
+				Socket socket = server.accepted(i == 0);
+				server.readRequest(socket);
+				send(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Kept: yes\r\n\r\n"
+						+ "5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n");
+				assertEquals(response.outcome(), "end");
+				assertEquals(response.body.toStringUtf8(), "hello world");
+				assertEquals(response.headers.get(0).getName().toLowerCase(), "x-kept");
+			}
+			client.close();
+		}
+	}
+
+	@Test
+	public void aRefusedConnectionIsReportedAsNotSent() throws Exception {
+		int port;
+		try (Script server = new Script()) {
+			port = server.port();
+		}
+		BackendClient client = client(port, false);
+		assertEquals(start(client, true).outcome(), "NOT_SENT");
+		assertEquals(probe(client).state(), Backend.Health.State.REFUSED);
+	}
+
+	@Test
+	public void aResponseThatBreaksOffIsNotTakenForComplete() throws Exception {
+		String[] heads = { "", "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf",
+				"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n" };
+		for (String head : heads) {
+			try (Script server = new Script()) {
+				Response response = start(client(server.port(), false), true);
+				Socket socket = server.accepted(true);
+				server.readRequest(socket);
+				send(socket, head);
+				socket.close();
+				assertEquals(response.outcome(), "BROKEN_OFF", "after " + head.length() + " bytes");
+			}
+		}
+	}
+
+	@Test
+	public void aMalformedResponseIsReportedAsBrokenOff() throws Exception {
+		try (Script server = new Script()) {
+			Response response = start(client(server.port(), false), true);
+			Socket socket = server.accepted(true);
+			server.readRequest(socket);
+			send(socket, "NONSENSE\r\n\r\n");
+			assertEquals(response.outcome(), "BROKEN_OFF");
+		}
+	}
+
+	@Test
+	public void aPausedResponseStopsTheServerFromSending() throws Exception {
+		try (Script server = new Script()) {
+			Response response = new Response();
+			Backend.Call call = client(server.port(), false).start(request(true), response);
+			Socket socket = server.accepted(true);
+			server.readRequest(socket);
+			call.pause();
+			AtomicLong written = new AtomicLong();
+			CompletableFuture<Void> writer = flood(socket, written);
+			awaitStall(written);
+			long stalledAt = written.get();
+			assertTrue(stalledAt < Script.FLOOD_BYTES, "the server could send everything");
+			assertTrue(response.received.get() < 1024 * 1024, "received " + response.received.get());
+			call.resume();
+			writer.get(WAIT_S, TimeUnit.SECONDS);
+			assertEquals(response.outcome(), "end");
+			assertEquals(response.received.get(), Script.FLOOD_BYTES);
+		}
+	}
+
+	private static CompletableFuture<Void> flood(Socket socket, AtomicLong written) {
+		return CompletableFuture.runAsync(() -> {
+			try {
+				send(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + Script.FLOOD_BYTES + "\r\n\r\n");
+				byte[] block = new byte[64 * 1024];
+				while (written.get() < Script.FLOOD_BYTES) {
+					socket.getOutputStream().write(block);
+					written.addAndGet(block.length);
+				}
+			}
+			catch (IOException ex) {
+				throw new IllegalStateException(ex);
+			}
+		});
+	}
+
+	private static void awaitStall(AtomicLong written) throws InterruptedException {
+		long before = -1;
+		while (before != written.get() || before == 0) {
+			before = written.get();
+			Thread.sleep(500);
+		}
+	}
+
+	@Test
+	public void aCancelOfAPlainServiceClosesTheConnection() throws Exception {
+		try (Script server = new Script()) {
+			Response response = new Response();
+			Backend.Call call = client(server.port(), false).start(request(true), response);
+			Socket socket = server.accepted(true);
+			server.readRequest(socket);
+			call.cancel();
+			assertEquals(response.outcome(), "CANCELLED");
+			assertEquals(socket.getInputStream().read(), -1);
+		}
+	}
+
+	@Test
+	public void aModelEngineIsAskedToCancelBeforeTheConnectionCloses() throws Exception {
+		try (Script server = new Script()) {
+			Response response = new Response();
+			Backend.Call call = client(server.port(), true).start(request(true), response);
+			Socket socket = server.accepted(true);
+			server.readRequest(socket);
+			call.cancel();
+			Socket control = server.accepted(true);
+			String cancel = server.readRequest(control);
+			assertTrue(cancel.startsWith("POST /v1/cancel/id-1 "), cancel);
+			assertEquals(response.ends.size(), 0);
+			send(control, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+			assertEquals(response.outcome(), "CANCELLED");
+		}
+	}
+
+	@Test
+	public void aCallThatMayNotBeRepeatedGetsAFreshConnection() throws Exception {
+		try (Script server = new Script()) {
+			BackendClient client = client(server.port(), false);
+			for (int i = 0; i < 2; i++) {
+				Response response = start(client, false);
+				Socket socket = server.accepted(true);
+				server.readRequest(socket);
+				send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+				assertEquals(response.outcome(), "end");
+			}
+		}
+	}
+
+	@Test
+	public void aProbeReadsTheIncarnationAndASilentServerIsToldFromADeadOne() throws Exception {
+		try (Script server = new Script()) {
+			BackendClient client = client(server.port(), true);
+			CompletableFuture<Backend.Health> probe = client.probe().toCompletableFuture();
+			Socket socket = server.accepted(true);
+			server.readRequest(socket);
+			send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 22\r\n\r\n{\"incarnation\":\"abcd\"}");
+			assertEquals(probe.get(WAIT_S, TimeUnit.SECONDS), new Backend.Health(Backend.Health.State.UP, "abcd"));
+			assertEquals(probe(client).state(), Backend.Health.State.SILENT);
+		}
+	}
+
+	private BackendClient client(int port, boolean model) {
+		return new BackendClient(this.group, BackendSettings.defaults("127.0.0.1", port, model));
+	}
+
+	private static Backend.BackendRequest request(boolean repeatable) {
+		return new Backend.BackendRequest("id-1", "normal", repeatable, "POST", "/x", List.of(),
+				ByteString.copyFromUtf8("body"));
+	}
+
+	private static Response start(BackendClient client, boolean repeatable) {
+		Response response = new Response();
+		client.start(request(repeatable), response);
+		return response;
+	}
+
+	private static Backend.Health probe(BackendClient client) throws Exception {
+		return client.probe().toCompletableFuture().get(WAIT_S, TimeUnit.SECONDS);
+	}
+
+	private static void send(Socket socket, String text) throws IOException {
+		OutputStream out = socket.getOutputStream();
+		out.write(text.getBytes(StandardCharsets.US_ASCII));
+		out.flush();
+	}
+
+	/**
+	 * Collects a response.
+	 */
+	private static final class Response implements Backend.Listener {
+
+		private final BlockingQueue<String> ends = new LinkedBlockingQueue<>();
+
+		private final AtomicLong received = new AtomicLong();
+
+		private volatile List<Header> headers = List.of();
+
+		private volatile ByteString body = ByteString.EMPTY;
+
+		@Override
+		public void head(int status, List<Header> headers) {
+			this.headers = headers;
+		}
+
+		@Override
+		public void data(ByteString data) {
+			this.received.addAndGet(data.size());
+			this.body = (this.body.size() < 1024) ? this.body.concat(data) : this.body;
+		}
+
+		@Override
+		public void end() {
+			this.ends.add("end");
+		}
+
+		@Override
+		public void failed(Backend.Break cause, String detail) {
+			this.ends.add(cause.name());
+		}
+
+		private String outcome() throws InterruptedException {
+			return this.ends.poll(WAIT_S, TimeUnit.SECONDS);
+		}
+
+	}
+
+	/**
+	 * A server whose answers the test writes byte by byte.
+	 */
+	private static final class Script implements AutoCloseable {
+
+		private static final long FLOOD_BYTES = 64L * 1024 * 1024;
+
+		private final ServerSocket listener;
+
+		private Socket last;
+
+		private Script() throws IOException {
+			this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+			this.listener.setSoTimeout(WAIT_S * 1_000);
+		}
+
+		private int port() {
+			return this.listener.getLocalPort();
+		}
+
+		private Socket accepted(boolean fresh) throws IOException {
+			if (fresh) {
+				this.last = this.listener.accept();
+				this.last.setSoTimeout(WAIT_S * 1_000);
+			}
+			assertNotNull(this.last);
+			return this.last;
+		}
+
+		private String readRequest(Socket socket) throws IOException {
+			StringBuilder text = new StringBuilder();
+			InputStream in = socket.getInputStream();
+			while (text.indexOf("\r\n\r\n") < 0) {
+				text.append((char) in.read());
+			}
+			int length = Integer.parseInt(text.toString().replaceAll("(?is).*content-length: (\\d+).*", "$1"));
+			in.readNBytes(length);
+			return text.toString();
+		}
+
+		@Override
+		public void close() throws IOException {
+			this.listener.close();
+		}
+
+	}
+
+}
