Close gaps in the agent found on review

Cause: a read of the code found four gaps. A link that closed between its watch and the request's entry left the request attached to a dead link; a response that its caller never read was kept without limit; a suspect could enter the queue and be refused late; the refusal while a server is checked named the load bound.

--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/AdmissionControl.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/AdmissionControl.java
@@ -62,10 +62,14 @@
 		if (this.gate == Gate.CLOSED) {
 			return redirect(FailureCode.BACKEND_DOWN, "The backend server accepts no connections", nowMs);
 		}
-		if (this.queue.size() == 0 && hasRoom(pool, others)) {
+		if (admitsNow(pool, others)) {
 			this.load++;
 			return Verdict.ADMITTED;
 		}
+		if (mayRedirect && this.gate == Gate.PAUSED) {
+			return redirect(FailureCode.BACKEND_DOWN, "A connection to the backend server broke; it is being checked",
+					nowMs);
+		}
 		if (mayRedirect) {
 			return redirect(FailureCode.LOAD_BOUND, "The load bound of " + pool.name() + " is reached", nowMs);
 		}
@@ -73,13 +77,16 @@
 	}
 
 	/**
-	 * Return whether the load bound lets one more request run now.
+	 * Return whether an offer would be admitted at once.
 	 * @param pool the pool's settings
 	 * @param others the load of the other members
-	 * @return whether an offer would be admitted, unless work is queued or the agent
-	 * drains
+	 * @return whether nothing is queued and the load bound lets one more request run
 	 */
-	public boolean hasRoom(PoolSpec pool, PoolLoad others) {
+	public boolean admitsNow(PoolSpec pool, PoolLoad others) {
+		return !this.draining && this.queue.size() == 0 && hasRoom(pool, others);
+	}
+
+	private boolean hasRoom(PoolSpec pool, PoolLoad others) {
 		return this.gate == Gate.OPEN && this.load < limit(pool, others, this.load);
 	}
 
--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentService.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentService.java
@@ -108,6 +108,7 @@
 			this.core.noteLimit(pool);
 			this.core.table().add(request);
 			this.core.trace(request);
+			detachIfClosed(request, link);
 			Optional<Refusal> obstacle = obstacle(request, verdict, pool);
 			if (obstacle.isPresent()) {
 				this.core.refuse(request, obstacle.get().provedFor(request));
@@ -124,7 +125,7 @@
 			return Optional.of(Refusal.redirect(Failure.notRun(FailureCode.UNKNOWN_POOL, detail, 0)));
 		}
 		boolean suspect = verdict.kind() != SuspectTable.Kind.FREE;
-		if (suspect && verdict.kind().mayRun() && !this.core.admission().hasRoom(pool.spec(), pool.load())) {
+		if (suspect && verdict.kind().mayRun() && !this.core.admission().admitsNow(pool.spec(), pool.load())) {
 			return Optional.of(Refusal.refuse(SuspectGate.suspect("There is no room for its run now", verdict)));
 		}
 		return SuspectGate.refusal(verdict);
@@ -200,10 +201,20 @@
 			link.send(Frames.brokenOff(request.id(), length, failure, this.core.admission().load()));
 			return;
 		}
+		detachIfClosed(request, link);
 		request.regulate();
 		this.core.settle(request);
 	}
 
+	private void detachIfClosed(AgentRequest request, PeerLink link) {
+		// The link may have closed between watch() and the lock; closed() has not seen
+		// this
+		// request then.
+		if (!link.isOpen()) {
+			request.detach(this.core.nowMs());
+		}
+	}
+
 	private void sendResolution(PeerLink link, RequestId id) {
 		link.send(Frame.newBuilder()
 			.setResolution(this.core.table().resolve(id, this.core.identity().incarnation(), this.core.nowMs()))
--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentSweep.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentSweep.java
@@ -4,6 +4,7 @@
 
 import org.acaciamux.Failure;
 import org.acaciamux.FailureCode;
+import org.acaciamux.Outcome;
 import org.acaciamux.internal.event.EventLog;
 
 /**
@@ -70,9 +71,25 @@
 		request.stream().pump();
 		request.regulate();
 		this.core.settle(request);
-		if (request.state() != AgentRequest.State.RUNNING) {
-			return;
+		if (request.isOver()) {
+			limitUnread(request);
 		}
+		else if (request.state() == AgentRequest.State.RUNNING) {
+			limitRunning(request, pool, effects);
+		}
+	}
+
+	private void limitUnread(AgentRequest request) {
+		boolean unread = !request.admitted() && !request.stream().endSent();
+		if (unread && request.deadlineMs() <= this.core.nowMs()) {
+			request.stream()
+				.abort(new Failure(FailureCode.DEADLINE_EXCEEDED, Outcome.ANSWERED,
+						"The caller did not read the response before the deadline", 0), this.core.admission().load());
+			this.core.settle(request);
+		}
+	}
+
+	private void limitRunning(AgentRequest request, AgentCore.PoolNow pool, List<Runnable> effects) {
 		if (!request.keyed() && isAbandoned(request)) {
 			abandon(request, effects);
 		}
