Tighten two checks of the agent's tests

Cause: taking the rounding guard out of the load bound failed no test, because the example (1.1 * 10 / 11) is exact in floating point.

--- a/server/src/test/java/org/acaciamux/internal/coordination/admission/AdmissionControlTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/admission/AdmissionControlTests.java
@@ -37,8 +37,8 @@
 
 	@Test
 	public void theBoundIsNotOneTooHighBecauseOfRounding() {
-		// 1.1 * 10 / 11 is slightly above 1 in floating point.
-		assertEquals(AdmissionControl.limit(pool(1.1, 64, 8), new PoolLoad(11, 9, 10), 0), 1);
+		// 1.1 * 50 / 5 is slightly above 11 in floating point.
+		assertEquals(AdmissionControl.limit(pool(1.1, 64, 8), new PoolLoad(5, 49, 4), 0), 11);
 		assertEquals(AdmissionControl.limit(pool(1.25, 64, 8), new PoolLoad(10, 79, 10), 0), 10);
 		assertEquals(AdmissionControl.limit(pool(1.25, 64, 8), new PoolLoad(10, 80, 10), 0), 11);
 	}
--- a/server/src/test/java/org/acaciamux/internal/coordination/admission/CrashTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/admission/CrashTests.java
@@ -35,7 +35,7 @@
 
 	private static final int FIXED_SEEDS = 20;
 
-	private static final int MOST_CRASHES = 4;
+	private static final int MOST_CRASHES = 3;
 
 	private static final String POISON = "poison";
 
