Add settings, the peer transport and the admin port

Cause: router and agent need checked settings, links between processes and pages for operators. Ruled out: stopping at the first wrong setting (an operator would fix one per start); heartbeats on every idle connection each second (2,200 idle links would break 8 KB a second a node).

--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/process/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Wiring and life cycle of a process.
+ */
+package org.acaciamux.internal.process;
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/protocol/OutstandingRequests.java
@@ -0,0 +1,43 @@
+package org.acaciamux.internal.protocol;
+
+import java.util.HashSet;
+import java.util.Set;
+
+import org.acaciamux.internal.protocol.wire.Frame;
+import org.acaciamux.internal.protocol.wire.RequestId;
+
+/**
+ * Tracks from the frames of a connection which requests are in flight on it, so that the
+ * connection knows whether silence matters. Not thread-safe.
+ */
+public final class OutstandingRequests {
+
+	private final Set<RequestId> ids = new HashSet<>();
+
+	/**
+	 * Note a frame in either direction.
+	 * @param frame the frame
+	 */
+	public void note(Frame frame) {
+		switch (frame.getBodyCase()) {
+			case SUBMIT -> this.ids.add(frame.getSubmit().getId());
+			case RESUME -> this.ids.add(frame.getResume().getId());
+			case RESOLVE -> this.ids.add(frame.getResolve().getId());
+			case END -> this.ids.remove(frame.getEnd().getId());
+			case REFUSED -> this.ids.remove(frame.getRefused().getId());
+			case CANCEL -> this.ids.remove(frame.getCancel().getId());
+			case RESOLUTION -> this.ids.remove(frame.getResolution().getId());
+			default -> {
+			}
+		}
+	}
+
+	/**
+	 * Return whether no request is in flight.
+	 * @return whether the connection is idle
+	 */
+	public boolean isEmpty() {
+		return this.ids.isEmpty();
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/transport/admin/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The admin port of a process.
+ */
+package org.acaciamux.internal.transport.admin;
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/settings/AgentSettings.java
@@ -0,0 +1,10 @@
+package org.acaciamux.settings;
+
+/**
+ * Settings of the agent role. Immutable and thread-safe.
+ *
+ * @param pool the pool that the backend server belongs to
+ * @param backend where the backend server accepts HTTP
+ */
+public record AgentSettings(String pool, Endpoint backend) {
+}
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/settings/SettingsNode.java
@@ -0,0 +1,148 @@
+package org.acaciamux.settings;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.regex.Pattern;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
+
+/**
+ * Reads one mapping of a settings file and collects every problem instead of stopping at
+ * the first. Invariant: each key that a reader method names counts as known; the others
+ * are reported by {@link #reportUnknownKeys()}. Not thread-safe.
+ */
+final class SettingsNode {
+
+	private static final Pattern NAME = Pattern.compile("[a-z0-9]([a-z0-9.-]{0,62}[a-z0-9])?");
+
+	private final String path;
+
+	private final JsonNode node;
+
+	private final List<SettingsProblem> problems;
+
+	private final Set<String> known = new HashSet<>();
+
+	private final List<SettingsNode> sections = new ArrayList<>();
+
+	private SettingsNode(String path, JsonNode node, List<SettingsProblem> problems) {
+		this.path = path;
+		this.node = node;
+		this.problems = problems;
+	}
+
+	static SettingsNode root(JsonNode node, List<SettingsProblem> problems) {
+		return new SettingsNode("", node, problems);
+	}
+
+	boolean has(String key) {
+		this.known.add(key);
+		return this.node.has(key);
+	}
+
+	SettingsNode section(String key) {
+		this.known.add(key);
+		JsonNode child = this.node.path(key);
+		if (!child.isMissingNode() && !child.isObject()) {
+			problem(key, "must be a mapping", key + ": { ... }");
+			child = MissingNode.getInstance();
+		}
+		SettingsNode section = new SettingsNode(pathOf(key) + ".", child, this.problems);
+		this.sections.add(section);
+		return section;
+	}
+
+	String name(String key, String example) {
+		Optional<String> text = text(key, example);
+		if (text.isPresent() && !NAME.matcher(text.get()).matches()) {
+			problem(key,
+					"must be 1 to 64 characters of a-z, 0-9, '.' and '-', starting and ending with a letter or digit",
+					key + ": " + example);
+		}
+		return text.orElse("");
+	}
+
+	Role role(String key) {
+		Optional<String> text = text(key, "router");
+		Optional<Role> role = text.flatMap(Role::of);
+		if (text.isPresent() && role.isEmpty()) {
+			problem(key, "is '" + text.get() + "', but must be router or agent", key + ": router");
+		}
+		return role.orElse(Role.ROUTER);
+	}
+
+	Endpoint endpoint(String key, String example) {
+		Optional<String> text = text(key, example);
+		Optional<Endpoint> endpoint = text.flatMap(Endpoint::parse).filter((value) -> value.port() > 0);
+		if (text.isPresent() && endpoint.isEmpty()) {
+			problem(key, "is '" + text.get() + "', but must be an IP address and a port of 1 to 65535",
+					key + ": " + example);
+		}
+		return endpoint.orElseGet(() -> new Endpoint("127.0.0.1", 1));
+	}
+
+	String address(String defaultAddress) {
+		if (!has("address")) {
+			return defaultAddress;
+		}
+		Optional<String> text = text("address", "127.0.0.1");
+		if (text.isPresent() && !Endpoint.isIpAddress(text.get())) {
+			problem("address", "is '" + text.get() + "', but must be an IP address", "address: 127.0.0.1");
+		}
+		return text.orElse(defaultAddress);
+	}
+
+	long number(String key, long defaultValue, long min, long max, String unit) {
+		if (!has(key)) {
+			return defaultValue;
+		}
+		JsonNode value = this.node.get(key);
+		if (!value.isIntegralNumber() || !value.canConvertToLong() || value.asLong() < min || value.asLong() > max) {
+			problem(key, "is '" + value.asText() + "', but must be a whole number of " + unit + " from " + min + " to "
+					+ max, key + ": " + defaultValue);
+			return defaultValue;
+		}
+		return value.asLong();
+	}
+
+	void problem(String key, String message, String example) {
+		this.problems.add(new SettingsProblem(pathOf(key), message, example));
+	}
+
+	void reportUnknownKeys() {
+		Iterator<String> names = this.node.fieldNames();
+		while (names.hasNext()) {
+			String key = names.next();
+			if (!this.known.contains(key)) {
+				problem(key,
+						"is not a known key; known here: " + String.join(", ", this.known.stream().sorted().toList()),
+						"remove the line");
+			}
+		}
+		this.sections.forEach(SettingsNode::reportUnknownKeys);
+	}
+
+	private Optional<String> text(String key, String example) {
+		this.known.add(key);
+		JsonNode value = this.node.path(key);
+		if (value.isMissingNode() || value.isNull()) {
+			problem(key, "is missing", key + ": " + example);
+			return Optional.empty();
+		}
+		if (!value.isTextual()) {
+			problem(key, "must be a text", key + ": " + example);
+			return Optional.empty();
+		}
+		return Optional.of(value.asText());
+	}
+
+	private String pathOf(String key) {
+		return this.path + key;
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/settings/SettingsProblem.java
@@ -0,0 +1,17 @@
+package org.acaciamux.settings;
+
+/**
+ * One fault in a settings file. Immutable and thread-safe.
+ *
+ * @param path where it is, for instance {@code listen.port}
+ * @param message what is wrong and what is allowed
+ * @param example a valid line
+ */
+public record SettingsProblem(String path, String message, String example) {
+
+	@Override
+	public String toString() {
+		return this.path + ": " + this.message + " (example: " + this.example + ")";
+	}
+
+}
--- /dev/null
+++ b/server/src/test/java/org/acaciamux/internal/protocol/HeartbeatTests.java
@@ -0,0 +1,47 @@
+package org.acaciamux.internal.protocol;
+
+import java.util.concurrent.TimeUnit;
+
+import org.testng.annotations.Test;
+
+import org.acaciamux.internal.protocol.Heartbeat.Action;
+
+import static org.testng.Assert.assertEquals;
+
+public class HeartbeatTests {
+
+	@Test
+	public void aBusyConnectionIsPingedAfterOneSecondOfSilence() {
+		Heartbeat heartbeat = new Heartbeat(0);
+		assertEquals(heartbeat.tick(millis(999), true), Action.NONE);
+		assertEquals(heartbeat.tick(millis(1_000), true), Action.PING);
+	}
+
+	@Test
+	public void anUnansweredPingDeclaresTheConnectionSilentAfterThreeSeconds() {
+		Heartbeat heartbeat = new Heartbeat(0);
+		heartbeat.tick(millis(1_000), true);
+		assertEquals(heartbeat.tick(millis(2_999), true), Action.NONE);
+		assertEquals(heartbeat.tick(millis(3_000), true), Action.DECLARE_SILENT);
+	}
+
+	@Test
+	public void aFrameAfterThePingKeepsTheConnection() {
+		Heartbeat heartbeat = new Heartbeat(0);
+		heartbeat.tick(millis(1_000), true);
+		heartbeat.heard(millis(2_500));
+		assertEquals(heartbeat.tick(millis(3_000), true), Action.NONE);
+	}
+
+	@Test
+	public void anIdleConnectionIsPingedOnceAMinuteOnly() {
+		Heartbeat heartbeat = new Heartbeat(0);
+		assertEquals(heartbeat.tick(millis(59_999), false), Action.NONE);
+		assertEquals(heartbeat.tick(millis(60_000), false), Action.PING);
+	}
+
+	private static long millis(long value) {
+		return TimeUnit.MILLISECONDS.toNanos(value);
+	}
+
+}
