--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/coordination/order/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Load slots and orders to backend servers.
+ */
+package org.acaciamux.internal.coordination.order;
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/PlatformHttpClient.java
@@ -0,0 +1,289 @@
+package org.acaciamux.internal.transport.http;
+
+import java.net.InetSocketAddress;
+import java.util.Deque;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
+
+/**
+ * HTTP client for the platform's APIs: one call per connection at a time, idle
+ * connections are reused. Invariant: a reply is {@link Reply.NotSent} only if no byte of
+ * the request was written. Thread-safe; replies complete on an event loop.
+ */
+public final class PlatformHttpClient implements AutoCloseable {
+
+	private static final int MAX_RESPONSE_BYTES = 64 * 1024 * 1024;
+
+	private static final int MAX_IDLE = 8;
+
+	private final Bootstrap bootstrap;
+
+	private final InetSocketAddress address;
+
+	private final int maxConnections;
+
+	private final AtomicInteger connections = new AtomicInteger();
+
+	private final Deque<Channel> idle = new ConcurrentLinkedDeque<>();
+
+	private volatile boolean closed;
+
+	/**
+	 * Create a client. Connections are opened as calls need them.
+	 * @param group the event loops; the caller shuts them down after this client
+	 * @param address the platform's address
+	 * @param connectTimeoutMs time to open a connection, 1 to 60,000 milliseconds
+	 * @param maxConnections connections open at once, at least 1; further calls are
+	 * refused without being sent
+	 */
+	public PlatformHttpClient(EventLoopGroup group, InetSocketAddress address, int connectTimeoutMs,
+			int maxConnections) {
+		this.address = address;
+		this.maxConnections = maxConnections;
+		this.bootstrap = new Bootstrap().group(group)
+			.channel(NioSocketChannel.class)
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
+			.option(ChannelOption.TCP_NODELAY, true)
+			.handler(new ChannelInitializer<Channel>() {
+				@Override
+				protected void initChannel(Channel channel) {
+					channel.pipeline()
+						.addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_RESPONSE_BYTES), new Exchange());
+				}
+			});
+	}
+
+	/**
+	 * Make a call.
+	 * @param method the HTTP method
+	 * @param uri path and query
+	 * @param body the body, empty for none
+	 * @param timeoutMs time from the start of sending to the complete response, at least
+	 * 1 millisecond
+	 * @return the reply; never completes exceptionally
+	 */
+	public CompletionStage<Reply> call(HttpMethod method, String uri, byte[] body, long timeoutMs) {
+		Call call = new Call(request(method, uri, body), timeoutMs, new CompletableFuture<>());
+		Channel channel = pollIdle();
+		if (channel != null) {
+			send(channel, call);
+		}
+		else {
+			connect(call);
+		}
+		return call.reply;
+	}
+
+	private FullHttpRequest request(HttpMethod method, String uri, byte[] body) {
+		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, uri,
+				Unpooled.wrappedBuffer(body));
+		String host = this.address.getHostString() + ":" + this.address.getPort();
+		request.headers().set(HttpHeaderNames.HOST, host);
+		request.headers().set(HttpHeaderNames.ACCEPT, HttpHeaderValues.APPLICATION_JSON);
+		if (body.length > 0) {
+			request.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+		}
+		HttpUtil.setContentLength(request, body.length);
+		return request;
+	}
+
+	private Channel pollIdle() {
+		Channel channel = this.idle.pollFirst();
+		while (channel != null && !channel.isActive()) {
+			channel = this.idle.pollFirst();
+		}
+		return channel;
+	}
+
+	private void connect(Call call) {
+		if (this.closed) {
+			call.notSent("the client is closed");
+			return;
+		}
+		if (this.connections.incrementAndGet() > this.maxConnections) {
+			this.connections.decrementAndGet();
+			call.notSent("all " + this.maxConnections + " connections are in use");
+			return;
+		}
+		this.bootstrap.connect(this.address).addListener((ChannelFuture connected) -> {
+			if (!connected.isSuccess()) {
+				this.connections.decrementAndGet();
+				call.notSent("no connection to " + this.address + ": " + connected.cause().getMessage());
+				return;
+			}
+			connected.channel().closeFuture().addListener((ignored) -> this.connections.decrementAndGet());
+			send(connected.channel(), call);
+		});
+	}
+
+	private void send(Channel channel, Call call) {
+		channel.eventLoop().execute(() -> {
+			if (!channel.isActive()) {
+				connect(call);
+				return;
+			}
+			channel.pipeline().get(Exchange.class).start(call);
+		});
+	}
+
+	private void release(Channel channel) {
+		if (this.closed || this.idle.size() >= MAX_IDLE) {
+			channel.close();
+			return;
+		}
+		this.idle.offerFirst(channel);
+	}
+
+	/**
+	 * Close idle connections and refuse further calls. Calls under way get their reply or
+	 * their timeout.
+	 */
+	@Override
+	public void close() {
+		this.closed = true;
+		for (Channel channel = this.idle.pollFirst(); channel != null; channel = this.idle.pollFirst()) {
+			channel.close();
+		}
+	}
+
+	/**
+	 * Result of a call.
+	 */
+	public sealed interface Reply {
+
+		/**
+		 * A complete response arrived.
+		 *
+		 * @param status the HTTP status
+		 * @param body the body
+		 */
+		record Response(int status, byte[] body) implements Reply {
+		}
+
+		/**
+		 * No byte of the request was sent.
+		 *
+		 * @param detail what happened
+		 */
+		record NotSent(String detail) implements Reply {
+		}
+
+		/**
+		 * The request was sent, at least in part, and no complete response arrived.
+		 *
+		 * @param detail what happened
+		 */
+		record NoAnswer(String detail) implements Reply {
+		}
+
+	}
+
+	private record Call(FullHttpRequest request, long timeoutMs, CompletableFuture<Reply> reply) {
+
+		void notSent(String detail) {
+			this.request.release();
+			this.reply.complete(new Reply.NotSent(detail));
+		}
+
+	}
+
+	/**
+	 * The call that a connection carries. Confined to the connection's event loop.
+	 */
+	private final class Exchange extends SimpleChannelInboundHandler<FullHttpResponse> {
+
+		private ChannelHandlerContext context;
+
+		private Call current;
+
+		private Future<?> timeout;
+
+		@Override
+		public void handlerAdded(ChannelHandlerContext added) {
+			this.context = added;
+		}
+
+		void start(Call call) {
+			this.current = call;
+			this.timeout = this.context.executor().schedule(() -> {
+				end(new Reply.NoAnswer("no response within " + call.timeoutMs + " ms"));
+				this.context.close();
+			}, call.timeoutMs, TimeUnit.MILLISECONDS);
+			this.context.writeAndFlush(call.request).addListener((written) -> {
+				if (!written.isSuccess()) {
+					end(new Reply.NoAnswer("sending failed: " + written.cause().getMessage()));
+					this.context.close();
+				}
+			});
+		}
+
+		@Override
+		protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+			if (response.decoderResult().isFailure()) {
+				ctx.close();
+				return;
+			}
+			boolean reusable = this.current != null && HttpUtil.isKeepAlive(response);
+			Reply reply = new Reply.Response(response.status().code(), ByteBufUtil.getBytes(response.content()));
+			if (reusable) {
+				this.timeout.cancel(false);
+				Call ended = this.current;
+				this.current = null;
+				release(ctx.channel());
+				ended.reply.complete(reply);
+				return;
+			}
+			end(reply);
+			ctx.close();
+		}
+
+		@Override
+		public void channelInactive(ChannelHandlerContext ctx) {
+			end(new Reply.NoAnswer("the connection was closed before the response was complete"));
+		}
+
+		@Override
+		public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+			end(new Reply.NoAnswer("the connection failed: " + cause.getMessage()));
+			ctx.close();
+		}
+
+		private void end(Reply reply) {
+			if (this.current == null) {
+				return;
+			}
+			this.timeout.cancel(false);
+			Call ended = this.current;
+			this.current = null;
+			ended.reply.complete(reply);
+		}
+
+	}
+
+}
