--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/state/record/HeldRecord.java
@@ -0,0 +1,88 @@
+package org.acaciamux.internal.state.record;
+
+import java.util.Objects;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.NullNode;
+
+/**
+ * One version of a record as it spreads between processes, readable or not. Immutable by
+ * convention: the value's nodes are not changed. Thread-safe under that convention.
+ *
+ * @param key the identity
+ * @param version the version
+ * @param deleted whether this version is the deletion (a tombstone)
+ * @param value the raw value, a null node for a tombstone
+ */
+public record HeldRecord(RecordKey key, long version, boolean deleted, JsonNode value) {
+
+	private static final long MIX_1 = 0xbf58476d1ce4e5b9L;
+
+	private static final long MIX_2 = 0x94d049bb133111ebL;
+
+	public HeldRecord {
+		Objects.requireNonNull(key, "key");
+		Objects.requireNonNull(value, "value");
+	}
+
+	/**
+	 * Return a version with a value.
+	 * @param kind the kind
+	 * @param name the name
+	 * @param version the version
+	 * @param value the raw value
+	 * @return the record
+	 */
+	public static HeldRecord of(String kind, String name, long version, JsonNode value) {
+		return new HeldRecord(new RecordKey(kind, name), version, false, value);
+	}
+
+	/**
+	 * Return a tombstone.
+	 * @param key the identity
+	 * @param version the version of the deletion
+	 * @return the tombstone
+	 */
+	public static HeldRecord tombstone(RecordKey key, long version) {
+		return new HeldRecord(key, version, true, NullNode.getInstance());
+	}
+
+	/**
+	 * Return whether the version comes from the object API's counter. The VM list has its
+	 * own counter.
+	 * @return whether the version is comparable with a revision of the object API
+	 */
+	public boolean isStored() {
+		return !RecordKinds.VM_LIST.equals(this.key.kind());
+	}
+
+	/**
+	 * Return this record's contribution to the digest of a table: 0 for a tombstone, so
+	 * that tables agree although their tombstones expire at different times. The VM list
+	 * counts by content, because two watchers may have read one content at different
+	 * revisions.
+	 * @return the contribution; contributions are added up
+	 */
+	long digest() {
+		if (this.deleted) {
+			return 0;
+		}
+		long last = isStored() ? this.version : textHash(this.value.toString());
+		return mix(mix(textHash(this.key.kind()) + textHash(this.key.name()) * 31) ^ last);
+	}
+
+	private static long textHash(String text) {
+		long hash = 0xcbf29ce484222325L;
+		for (int i = 0; i < text.length(); i++) {
+			hash = (hash ^ text.charAt(i)) * 0x100000001b3L;
+		}
+		return mix(hash);
+	}
+
+	private static long mix(long value) {
+		long mixed = (value ^ (value >>> 30)) * MIX_1;
+		mixed = (mixed ^ (mixed >>> 27)) * MIX_2;
+		return mixed ^ (mixed >>> 31);
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/state/record/RecordField.java
@@ -0,0 +1,164 @@
+package org.acaciamux.internal.state.record;
+
+import java.util.Optional;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * The rule for one field of a record's {@code spec}. Immutable and thread-safe.
+ *
+ * @param name the name that readers use, the same in all schema versions
+ * @param path the path below {@code spec} in this schema version, one or two names
+ * @param type the type
+ * @param min the lowest number allowed, or the number below the lowest one if
+ * {@code aboveMin}
+ * @param max the highest number allowed
+ * @param aboveMin whether {@code min} itself is not allowed
+ * @param example a right value as YAML
+ */
+record RecordField(String name, String path, Type type, double min, double max, boolean aboveMin, String example) {
+
+	/** Longest text and longest list that a field may hold. */
+	static final int MAX_LENGTH = 256;
+
+	static RecordField flag(String name, String example) {
+		return new RecordField(name, name, Type.BOOLEAN, 0, 0, false, example);
+	}
+
+	static RecordField whole(String name, long min, long max, String example) {
+		return new RecordField(name, name, Type.WHOLE, min, max, false, example);
+	}
+
+	static RecordField number(String name, double min, double max, String example) {
+		return new RecordField(name, name, Type.NUMBER, min, max, false, example);
+	}
+
+	static RecordField numberAbove(String name, double min, double max, String example) {
+		return new RecordField(name, name, Type.NUMBER, min, max, true, example);
+	}
+
+	static RecordField text(String name, String example) {
+		return new RecordField(name, name, Type.TEXT, 0, 0, false, example);
+	}
+
+	static RecordField texts(String name, String example) {
+		return new RecordField(name, name, Type.TEXTS, 0, 0, false, example);
+	}
+
+	RecordField at(String newPath) {
+		return new RecordField(this.name, newPath, this.type, this.min, this.max, this.aboveMin, this.example);
+	}
+
+	String group() {
+		int dot = this.path.indexOf('.');
+		return (dot < 0) ? "" : this.path.substring(0, dot);
+	}
+
+	String leaf() {
+		return this.path.substring(this.path.indexOf('.') + 1);
+	}
+
+	/**
+	 * Check a value.
+	 * @param value the value found
+	 * @return what is wrong, or empty
+	 */
+	Optional<RecordProblem> check(JsonNode value) {
+		if (!this.type.matches(value)) {
+			return problem("must be " + this.type.words + rangeWords() + ", but is " + shown(value) + ".");
+		}
+		if (isNumber() && !inRange(value.doubleValue())) {
+			return problem("must be" + rangeWords() + ", but is " + shown(value) + ".");
+		}
+		return Optional.empty();
+	}
+
+	private boolean isNumber() {
+		return this.type == Type.WHOLE || this.type == Type.NUMBER;
+	}
+
+	private boolean inRange(double value) {
+		boolean highEnough = this.aboveMin ? value > this.min : value >= this.min;
+		return highEnough && value <= this.max;
+	}
+
+	private String rangeWords() {
+		if (!isNumber()) {
+			return "";
+		}
+		String low = this.aboveMin ? " above " : " from ";
+		return low + plain(this.min) + " to " + plain(this.max);
+	}
+
+	private String plain(double value) {
+		return (this.type == Type.WHOLE) ? Long.toString((long) value) : Double.toString(value);
+	}
+
+	private Optional<RecordProblem> problem(String message) {
+		return Optional.of(new RecordProblem("spec." + this.path, message, leaf() + ": " + this.example));
+	}
+
+	private static String shown(JsonNode value) {
+		String text = value.toString();
+		return (text.length() <= 60) ? text : text.substring(0, 60) + "...";
+	}
+
+	/**
+	 * Types of fields.
+	 */
+	enum Type {
+
+		BOOLEAN("true or false") {
+			@Override
+			boolean matches(JsonNode value) {
+				return value.isBoolean();
+			}
+		},
+
+		WHOLE("a whole number") {
+			@Override
+			boolean matches(JsonNode value) {
+				return value.isIntegralNumber() && value.canConvertToLong();
+			}
+		},
+
+		NUMBER("a number") {
+			@Override
+			boolean matches(JsonNode value) {
+				return value.isNumber() && Double.isFinite(value.doubleValue());
+			}
+		},
+
+		TEXT("a text of at most " + MAX_LENGTH + " characters") {
+			@Override
+			boolean matches(JsonNode value) {
+				return value.isTextual() && value.textValue().length() <= MAX_LENGTH;
+			}
+		},
+
+		TEXTS("a list of at most " + MAX_LENGTH + " texts") {
+			@Override
+			boolean matches(JsonNode value) {
+				if (!value.isArray() || value.size() > MAX_LENGTH) {
+					return false;
+				}
+				for (JsonNode item : value) {
+					if (!TEXT.matches(item)) {
+						return false;
+					}
+				}
+				return true;
+			}
+		};
+
+		private final String words;
+
+		Type(String words) {
+			this.words = words;
+		}
+
+		abstract boolean matches(JsonNode value);
+
+	}
+
+}
