Add the harness that starts stand-ins and daemons as processes

Cause: the demo and the process tests must kill, freeze and restart routers and agents as real processes. Ruled out: signals by name, which could reach the processes of others.

--- /dev/null
+++ b/examples/src/main/java/org/acaciamux/examples/harness/CallKeys.java
@@ -0,0 +1,39 @@
+package org.acaciamux.examples.harness;
+
+import java.security.SecureRandom;
+import java.util.UUID;
+
+/**
+ * Makes idempotency keys: UUIDs of version 7 (RFC 9562). Thread-safe.
+ */
+public final class CallKeys {
+
+	private static final SecureRandom RANDOM = new SecureRandom();
+
+	private static final long VERSION_7 = 0x7000L;
+
+	private static final long VARIANT = 0x8000_0000_0000_0000L;
+
+	private CallKeys() {
+	}
+
+	/**
+	 * Make a key with the present time.
+	 * @return the key
+	 */
+	public static String next() {
+		return at(System.currentTimeMillis());
+	}
+
+	/**
+	 * Make a key with a given time.
+	 * @param epochMs milliseconds since 1970
+	 * @return the key
+	 */
+	public static String at(long epochMs) {
+		long high = (epochMs << 16) | VERSION_7 | (RANDOM.nextLong() & 0xFFF);
+		long low = VARIANT | (RANDOM.nextLong() >>> 2);
+		return new UUID(high, low).toString();
+	}
+
+}
--- /dev/null
+++ b/examples/src/main/java/org/acaciamux/examples/harness/Fleet.java
@@ -0,0 +1,274 @@
+package org.acaciamux.examples.harness;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
+
+/**
+ * A platform and a VM list as stand-ins, and the backend servers, agents and routers that
+ * are added, each a process of its own on 127.0.0.1. Not thread-safe.
+ */
+public final class Fleet implements AutoCloseable {
+
+	private static final String STAND_INS = "org.acaciamux.examples.standin.";
+
+	private static final String DAEMON = "org.acaciamux.DaemonMain";
+
+	private static final ObjectMapper JSON = new ObjectMapper();
+
+	private static final YAMLMapper YAML = new YAMLMapper();
+
+	private static final long READY_SECONDS = 60;
+
+	private final ProcessHarness harness;
+
+	private final Caller caller = new Caller();
+
+	private final Path settings;
+
+	private final ManagedProcess platform;
+
+	private final ManagedProcess vmList;
+
+	private Fleet(ProcessHarness harness) {
+		this.harness = harness;
+		this.settings = createSettingsDirectory();
+		this.platform = harness.launch("platform", STAND_INS + "PlatformStandIn", List.of());
+		this.vmList = harness.launch("vm-list", STAND_INS + "VmListStandIn", List.of());
+	}
+
+	public static Fleet start() {
+		return start(ProcessHarness.small());
+	}
+
+	/**
+	 * Start the stand-ins of the platform.
+	 * @param harness starts all processes of the fleet; closed with it
+	 * @return the fleet
+	 */
+	public static Fleet start(ProcessHarness harness) {
+		try {
+			Fleet fleet = new Fleet(harness);
+			fleet.platform.awaitReadyLine();
+			fleet.vmList.awaitReadyLine();
+			return fleet;
+		}
+		catch (RuntimeException ex) {
+			harness.close();
+			throw ex;
+		}
+	}
+
+	public Caller caller() {
+		return this.caller;
+	}
+
+	public ManagedProcess platform() {
+		return this.platform;
+	}
+
+	public ManagedProcess vmList() {
+		return this.vmList;
+	}
+
+	/**
+	 * Start a model engine.
+	 * @param id its id
+	 * @param options further options of the stand-in
+	 * @return the process
+	 */
+	public ManagedProcess startEngine(String id, String... options) {
+		return startStandIn("EngineStandIn", id, options);
+	}
+
+	/**
+	 * Start a plain service.
+	 * @param id its id
+	 * @param options further options of the stand-in
+	 * @return the process
+	 */
+	public ManagedProcess startPlainService(String id, String... options) {
+		return startStandIn("PlainServiceStandIn", id, options);
+	}
+
+	private ManagedProcess startStandIn(String name, String id, String... options) {
+		List<String> args = new ArrayList<>(List.of("--id", id));
+		args.addAll(List.of(options));
+		return this.harness.launch(id, STAND_INS + name, args);
+	}
+
+	/**
+	 * Start a router or an agent and enter it in the VM list.
+	 * @param spec what to start
+	 * @return the daemon
+	 */
+	public Daemon start(DaemonSpec spec) {
+		Daemon daemon = launch(spec);
+		register(daemon);
+		return daemon;
+	}
+
+	/**
+	 * Start a router or an agent without entering it in the VM list and without waiting.
+	 * @param spec what to start
+	 * @return the daemon
+	 */
+	public Daemon launch(DaemonSpec spec) {
+		Path file = this.settings.resolve(spec.id() + ".yaml");
+		try {
+			YAML.writeValue(file.toFile(), settings(spec));
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException("cannot write " + file, ex);
+		}
+		return new Daemon(spec, this.harness.launch(spec.id(), DAEMON, List.of("--settings", file.toString())));
+	}
+
+	/**
+	 * Enter a daemon in the VM list, or replace its entry.
+	 * @param daemon the daemon
+	 */
+	public void register(Daemon daemon) {
+		DaemonSpec spec = daemon.spec();
+		ObjectNode entry = JsonNodeFactory.instance.objectNode()
+			.put("id", spec.id())
+			.put("role", spec.role())
+			.put("address", "127.0.0.1")
+			.put("peerPort", daemon.peerPort())
+			.put("httpPort", daemon.httpPort())
+			.put("region", spec.region())
+			.put("failureDomain", spec.failureDomain())
+			.put("pool", spec.pool())
+			.put("state", "live");
+		this.caller.post(this.vmList.port(), "/control/vms", entry.toString());
+	}
+
+	/**
+	 * Mark a VM as leaving in the VM list.
+	 * @param id the VM's id
+	 */
+	public void markLeaving(String id) {
+		this.caller.post(this.vmList.port(), "/control/leaving", "{\"id\":\"" + id + "\"}");
+	}
+
+	/**
+	 * Switch the platform's outage.
+	 * @param on whether the object API and the VM list refuse every call
+	 */
+	public void setOutage(boolean on) {
+		String body = "{\"on\":" + on + "}";
+		this.caller.post(this.platform.port(), "/control/outage", body);
+		this.caller.post(this.vmList.port(), "/control/outage", body);
+	}
+
+	/**
+	 * Wait until a daemon's admin port says that it is ready.
+	 * @param daemon the daemon
+	 */
+	public void awaitReady(Daemon daemon) {
+		try {
+			Polling.await(daemon.id() + " is ready", READY_SECONDS,
+					() -> this.caller.get(daemon.adminPort(), "/ready").status() == 200);
+		}
+		catch (IllegalStateException ex) {
+			throw new IllegalStateException(daemon.id() + " is not ready; its output: " + daemon.process().output(),
+					ex);
+		}
+	}
+
+	/**
+	 * Write all records of a directory of YAML files to the platform.
+	 * @param directory the directory
+	 */
+	public void writeRecords(Path directory) {
+		try (Stream<Path> files = Files.list(directory)) {
+			for (Path file : files.sorted().toList()) {
+				try (var documents = YAML.readerFor(JsonNode.class).<JsonNode>readValues(file.toFile())) {
+					while (documents.hasNext()) {
+						writeRecord(documents.next());
+					}
+				}
+			}
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException("cannot read the records of " + directory, ex);
+		}
+	}
+
+	/**
+	 * Write a record over whatever version the platform holds.
+	 * @param yaml the record
+	 */
+	public void writeRecord(String yaml) {
+		try {
+			writeRecord(YAML.readTree(yaml));
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException("the record is not YAML", ex);
+		}
+	}
+
+	private void writeRecord(JsonNode record) {
+		String path = "/v1/objects/" + record.path("kind").asText() + "/" + record.path("name").asText();
+		Caller.Answer held = this.caller.get(this.platform.port(), path);
+		long version = held.json().path("version").asLong();
+		Caller.Answer answer = this.caller.send("PUT", this.platform.port(), path + "?ifVersion=" + version,
+				record.toString(), java.util.Map.of());
+		if (answer.status() != 200) {
+			throw new IllegalStateException("the platform refused " + path + ": " + answer);
+		}
+	}
+
+	private ObjectNode settings(DaemonSpec spec) {
+		ObjectNode node = JSON.createObjectNode()
+			.put("role", spec.role())
+			.put("id", spec.id())
+			.put("region", spec.region())
+			.put("failureDomain", spec.failureDomain());
+		if (spec.isRouter()) {
+			putEndpoint(node, "listen");
+		}
+		else {
+			node.putObject("agent").put("pool", spec.pool()).put("backend", spec.backend());
+		}
+		putEndpoint(node, "peer");
+		putEndpoint(node, "admin");
+		node.putObject("platform").put("objects", this.platform.hostPort()).put("vms", this.vmList.hostPort());
+		return node;
+	}
+
+	private static void putEndpoint(ObjectNode node, String name) {
+		node.putObject(name).put("address", "127.0.0.1").put("port", 0);
+	}
+
+	private static Path createSettingsDirectory() {
+		try {
+			return Files.createTempDirectory("acaciamux-fleet");
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException("cannot create a directory for settings files", ex);
+		}
+	}
+
+	@Override
+	public void close() {
+		this.harness.close();
+		try (Stream<Path> files = Files.walk(this.settings)) {
+			files.sorted(java.util.Comparator.reverseOrder()).forEach((file) -> file.toFile().delete());
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException("cannot delete " + this.settings, ex);
+		}
+	}
+
+}
