Choose backend servers by rendezvous hashing with hints

Change: RendezvousChooser ranks the members that accept work, places the caller's holder and the recent server first, and lets a loaded server give way to a lighter candidate by reusePreference.

Ruled out: a hash ring (uneven shares, and a lost server's chats go to one neighbour), two generations of hints (drops half of the table at once).

--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/coordination/routing/CandidateOrder.java
@@ -0,0 +1,103 @@
+package org.acaciamux.internal.coordination.routing;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.acaciamux.internal.coordination.membership.Member;
+import org.acaciamux.internal.coordination.routing.CandidateChooser.Trial;
+import org.acaciamux.internal.state.record.PoolSpec;
+
+/**
+ * Orders the servers of one plan: the holder named by the caller, the server that ran the
+ * chat last, the candidates by rank. The first of them gives way to a less loaded
+ * candidate when its load is beyond what {@code reusePreference} allows. Used by one
+ * thread.
+ */
+final class CandidateOrder {
+
+	private static final int NONE = -1;
+
+	private final PoolSpec pool;
+
+	private final CandidateIndex index;
+
+	private final int token;
+
+	private final int last;
+
+	private final int[] ranked;
+
+	CandidateOrder(PoolSpec pool, CandidateIndex index, int token, int last, int[] ranked) {
+		this.pool = pool;
+		this.index = index;
+		this.token = token;
+		this.last = last;
+		this.ranked = ranked;
+	}
+
+	List<Trial> trials() {
+		List<Trial> trials = new ArrayList<>(this.ranked.length + 2);
+		add(trials, this.token);
+		add(trials, this.last);
+		for (int slot : this.ranked) {
+			add(trials, slot);
+		}
+		preferLighter(trials);
+		return trials;
+	}
+
+	private void add(List<Trial> trials, int slot) {
+		if (slot == NONE) {
+			return;
+		}
+		Member member = this.index.member(slot);
+		for (Trial trial : trials) {
+			if (trial.member() == member) {
+				return;
+			}
+		}
+		trials.add(new Trial(member, slot == this.token || slot == this.last));
+	}
+
+	private void preferLighter(List<Trial> trials) {
+		int lightest = lightest(trials);
+		if (lightest > 0 && tooLoaded(trials.get(0).member().load(), trials.get(lightest).member().load())) {
+			trials.add(0, trials.remove(lightest));
+		}
+	}
+
+	/**
+	 * Find the least loaded server. Unknown loads say nothing, so a server whose load is
+	 * unknown neither displaces another nor is displaced.
+	 * @param trials the servers in order
+	 * @return the index of the first one with the lowest load, 0 if loads are unknown
+	 */
+	private static int lightest(List<Trial> trials) {
+		int lightest = 0;
+		for (int i = 1; i < trials.size(); i++) {
+			int load = trials.get(i).member().load();
+			if (load >= 0 && load < trials.get(lightest).member().load()) {
+				lightest = i;
+			}
+		}
+		return lightest;
+	}
+
+	/**
+	 * Return whether the preferred server must give way. At {@code reusePreference} 0.0
+	 * any less loaded candidate is preferred, at 1.0 none; at 0.5 the server may be as
+	 * far above the candidate as the load bound allows it to be above the mean.
+	 * @param preferred the load of the preferred server
+	 * @param lightest the load of the least loaded candidate
+	 * @return whether the candidate is tried first
+	 */
+	private boolean tooLoaded(int preferred, int lightest) {
+		double preference = this.pool.reusePreference();
+		if (preference >= 1.0) {
+			return false;
+		}
+		double margin = preference / (1.0 - preference) * (this.pool.loadBound() - 1.0);
+		return preferred - lightest > margin * (lightest + 1);
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/coordination/routing/RendezvousChooser.java
@@ -0,0 +1,111 @@
+package org.acaciamux.internal.coordination.routing;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.acaciamux.internal.coordination.membership.Member;
+import org.acaciamux.internal.state.record.PoolSpec;
+
+/**
+ * Ranks the servers of a pool by rendezvous hashing and puts servers that are believed to
+ * hold the chat's context first. Invariants: all choosers that see the same members rank
+ * them alike; a member is named at most once in a plan; only members that accept work are
+ * named. Thread-safe; the lock of the table of recent chats is taken, so callers hold no
+ * lock of its rank or a higher one.
+ */
+public final class RendezvousChooser implements CandidateChooser {
+
+	private static final int NONE = -1;
+
+	/**
+	 * Pools whose members are indexed at once. The indexes are dropped beyond it, which
+	 * costs one rebuild per pool in use.
+	 */
+	private static final int MAX_INDEXES = 256;
+
+	private final Map<String, CandidateIndex> indexes = new ConcurrentHashMap<>();
+
+	private final RecentChats recent;
+
+	/**
+	 * Create a chooser with the default number of recent chats.
+	 */
+	public RendezvousChooser() {
+		this(new RecentChats(RecentChats.DEFAULT_CAPACITY));
+	}
+
+	/**
+	 * Create a chooser.
+	 * @param recent the recent chats of this router
+	 */
+	public RendezvousChooser(RecentChats recent) {
+		this.recent = recent;
+	}
+
+	@Override
+	public List<Trial> plan(PoolSpec pool, List<Member> members, String chat, Optional<String> holder) {
+		CandidateIndex index = index(pool.name(), members);
+		if (index.size() == 0) {
+			return List.of();
+		}
+		long key = RendezvousHash.of(pool.name(), chat);
+		int token = holder.isPresent() ? index.slotOf(RendezvousHash.of(holder.get())) : NONE;
+		int last = index.slotOf(this.recent.serverOf(key));
+		int[] ranked = index.rank(key, pool.candidates(), NONE);
+		return new CandidateOrder(pool, index, token, last, ranked).trials();
+	}
+
+	@Override
+	public void served(String pool, String chat, String server) {
+		this.recent.note(RendezvousHash.of(pool, chat), RendezvousHash.of(server));
+	}
+
+	/**
+	 * Find the server that a chat goes to when a server stops taking work, so that the
+	 * leaving server can hand over the chat's context.
+	 * @param pool the pool's settings
+	 * @param members the pool's agents
+	 * @param chat the identity of the chat
+	 * @param without the id of the server that leaves
+	 * @return the first candidate among the others, empty if no other member accepts work
+	 */
+	public Optional<Member> nextCandidate(PoolSpec pool, List<Member> members, String chat, String without) {
+		CandidateIndex index = index(pool.name(), members);
+		int leaving = index.slotOf(RendezvousHash.of(without));
+		int[] ranked = index.rank(RendezvousHash.of(pool.name(), chat), 1, leaving);
+		return (ranked.length > 0) ? Optional.of(index.member(ranked[0])) : Optional.empty();
+	}
+
+	/**
+	 * Rank the servers of a pool for a chat, without hints and loads.
+	 * @param pool the pool's name
+	 * @param members the pool's agents
+	 * @param chat the identity of the chat
+	 * @param count how many servers are wanted, at least 1
+	 * @return the servers in order; fewer than wanted if fewer accept work
+	 */
+	public List<Member> rank(String pool, List<Member> members, String chat, int count) {
+		CandidateIndex index = index(pool, members);
+		List<Member> ranked = new ArrayList<>(count);
+		for (int slot : index.rank(RendezvousHash.of(pool, chat), count, NONE)) {
+			ranked.add(index.member(slot));
+		}
+		return ranked;
+	}
+
+	private CandidateIndex index(String pool, List<Member> members) {
+		CandidateIndex known = this.indexes.get(pool);
+		CandidateIndex index = (known != null) ? known.refresh(members) : CandidateIndex.of(members);
+		if (index != known) {
+			if (known == null && this.indexes.size() >= MAX_INDEXES) {
+				this.indexes.clear();
+			}
+			this.indexes.put(pool, index);
+		}
+		return index;
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/coordination/routing/RendezvousHash.java
@@ -0,0 +1,64 @@
+package org.acaciamux.internal.coordination.routing;
+
+/**
+ * Hash functions of rendezvous hashing. All processes of all versions must compute the
+ * same values, so the functions never change: a changed one would move every chat to
+ * another server. Stateless and thread-safe.
+ */
+public final class RendezvousHash {
+
+	private static final long GOLDEN = 0x9E3779B97F4A7C15L;
+
+	private static final long MIX_1 = 0xBF58476D1CE4E5B9L;
+
+	private static final long MIX_2 = 0x94D049BB133111EBL;
+
+	private RendezvousHash() {
+	}
+
+	/**
+	 * Hash a text.
+	 * @param text the text
+	 * @return 64 mixed bits
+	 */
+	public static long of(String text) {
+		return append(GOLDEN, text);
+	}
+
+	/**
+	 * Hash a chat within its pool, so that a chat has unrelated ranks in two pools.
+	 * @param pool the pool's name
+	 * @param chat the identity of the chat
+	 * @return 64 mixed bits
+	 */
+	public static long of(String pool, String chat) {
+		return append(of(pool), chat);
+	}
+
+	/**
+	 * Return the weight of a server for a chat; the server with the highest weight is
+	 * ranked first.
+	 * @param chat the chat's hash
+	 * @param server the hash of the server's id
+	 * @return the weight, compared as a signed number
+	 */
+	public static long weight(long chat, long server) {
+		return mix(chat ^ server);
+	}
+
+	private static long append(long seed, String text) {
+		long hash = seed;
+		for (int i = 0; i < text.length(); i++) {
+			hash = (hash ^ text.charAt(i)) * MIX_1;
+			hash ^= hash >>> 32;
+		}
+		return mix(hash + text.length());
+	}
+
+	private static long mix(long value) {
+		long x = (value ^ (value >>> 30)) * MIX_1;
+		x = (x ^ (x >>> 27)) * MIX_2;
+		return x ^ (x >>> 31);
+	}
+
+}
--- /dev/null
+++ b/server/src/test/java/org/acaciamux/internal/coordination/routing/RendezvousChooserTests.java
@@ -0,0 +1,229 @@
+package org.acaciamux.internal.coordination.routing;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.UnaryOperator;
+
+import org.testng.annotations.Test;
+
+import org.acaciamux.internal.coordination.membership.Member;
+import org.acaciamux.internal.coordination.membership.MemberState;
+import org.acaciamux.internal.coordination.routing.CandidateChooser.Trial;
+import org.acaciamux.internal.state.record.PoolSpec;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+public class RendezvousChooserTests {
+
+	private static final int SERVERS = 26;
+
+	private static final int CHATS = 5_200;
+
+	private static final PoolSpec POOL = PoolSpec.modelDefaults("assistant");
+
+	private final RendezvousChooser chooser = new RendezvousChooser();
+
+	@Test
+	public void losingAServerMovesOnlyItsOwnChats() {
+		List<Member> before = servers(SERVERS);
+		List<Member> after = without(before, 7);
+		for (int chat = 0; chat < CHATS; chat++) {
+			String home = first(before, "chat-" + chat);
+			if (!home.equals("vm-7")) {
+				assertEquals(first(after, "chat-" + chat), home);
+			}
+		}
+	}
+
+	@Test
+	public void chatsOfALostServerSpreadOverAllOthers() {
+		List<Member> before = servers(SERVERS);
+		List<Member> after = without(before, 7);
+		Map<String, Integer> moved = new TreeMap<>();
+		for (int chat = 0; chat < SERVERS * CHATS; chat++) {
+			if (first(before, "chat-" + chat).equals("vm-7")) {
+				moved.merge(first(after, "chat-" + chat), 1, Integer::sum);
+			}
+		}
+		assertEquals(moved.size(), SERVERS - 1);
+		int mean = CHATS / (SERVERS - 1);
+		moved.values().forEach((count) -> assertTrue(count > mean / 2 && count < mean * 2, moved.toString()));
+	}
+
+	@Test
+	public void serversGetEqualSharesOfChats() {
+		Map<String, Integer> shares = new TreeMap<>();
+		for (int chat = 0; chat < SERVERS * 1_000; chat++) {
+			shares.merge(first(servers(SERVERS), "chat-" + chat), 1, Integer::sum);
+		}
+		assertEquals(shares.size(), SERVERS);
+		shares.values().forEach((count) -> assertTrue(count > 850 && count < 1_150, shares.toString()));
+	}
+
+	@Test
+	public void allRoutersRankAlikeWhateverTheOrderOfTheirLists() {
+		List<Member> members = servers(SERVERS);
+		List<Member> reversed = new ArrayList<>(members);
+		Collections.reverse(reversed);
+		RendezvousChooser other = new RendezvousChooser();
+		for (int chat = 0; chat < CHATS; chat++) {
+			assertEquals(this.chooser.rank("assistant", members, "chat-" + chat, 4),
+					other.rank("assistant", reversed, "chat-" + chat, 4));
+		}
+	}
+
+	@Test
+	public void theSecondCandidateIsTheHighestRankedOneInAnotherDomain() {
+		List<Member> members = servers(SERVERS);
+		for (int chat = 0; chat < CHATS; chat++) {
+			List<Member> all = byWeight(members, "chat-" + chat);
+			Member expected = all.stream()
+				.filter((member) -> !member.failureDomain().equals(all.get(0).failureDomain()))
+				.findFirst()
+				.orElseThrow();
+			List<Member> ranked = this.chooser.rank("assistant", members, "chat-" + chat, 3);
+			assertEquals(ranked.get(0), all.get(0));
+			assertEquals(ranked.get(1), expected);
+			assertEquals(ranked.get(2), expected.equals(all.get(1)) ? all.get(2) : all.get(1));
+		}
+	}
+
+	@Test
+	public void aPoolInOneDomainStillOffersTwoCandidates() {
+		List<Member> members = map(servers(3), (member) -> member(member.id(), "a", MemberState.LIVE, 0));
+		assertEquals(this.chooser.plan(POOL, members, "chat", Optional.empty()).size(), 2);
+	}
+
+	@Test
+	public void membersThatAcceptNoWorkAreLeftOutEvenAsHolders() {
+		List<Member> members = map(servers(SERVERS), (member) -> member.id().equals("vm-3")
+				? member.withState(MemberState.LIVE) : member.withState(MemberState.LEAVING));
+		List<Trial> plan = this.chooser.plan(POOL, members, "chat", Optional.of("vm-4"));
+		assertEquals(ids(plan), List.of("vm-3"));
+	}
+
+	@Test
+	public void aMemberThatStartsToLeaveIsLeftOutOfTheNextPlan() {
+		List<Member> members = servers(SERVERS);
+		String home = first(members, "chat");
+		List<Member> later = map(members,
+				(member) -> member.id().equals(home) ? member.withState(MemberState.LEAVING) : member);
+		assertFalse(ids(this.chooser.plan(POOL, later, "chat", Optional.empty())).contains(home));
+	}
+
+	@Test
+	public void anEmptyPoolGivesAnEmptyPlan() {
+		assertTrue(this.chooser.plan(POOL, List.of(), "chat", Optional.of("vm-1")).isEmpty());
+		assertTrue(this.chooser.nextCandidate(POOL, servers(1), "chat", "vm-0").isEmpty());
+	}
+
+	@Test
+	public void theHolderNamedByTheCallerIsTriedBeforeTheRecentServer() {
+		List<Member> members = servers(SERVERS);
+		List<String> ranked = ids(this.chooser.plan(POOL, members, "chat", Optional.empty()));
+		String holder = other(ranked, "none");
+		String recent = other(ranked, holder);
+		this.chooser.served("assistant", "chat", recent);
+		List<Trial> plan = this.chooser.plan(POOL, members, "chat", Optional.of(holder));
+		assertEquals(ids(plan).subList(0, 4), List.of(holder, recent, ranked.get(0), ranked.get(1)));
+		assertTrue(plan.get(0).warm() && plan.get(1).warm() && !plan.get(2).warm());
+	}
+
+	@Test
+	public void hintsThatNameNoMemberAreIgnored() {
+		List<Member> members = servers(SERVERS);
+		List<Trial> plain = this.chooser.plan(POOL, members, "chat", Optional.empty());
+		this.chooser.served("assistant", "chat", "vm-gone");
+		assertEquals(this.chooser.plan(POOL, members, "chat", Optional.of("\u0000 no such server")), plain);
+	}
+
+	@Test
+	public void theNextCandidateWithoutAServerIsWhereItsChatGoesOnceItLeft() {
+		List<Member> members = servers(SERVERS);
+		for (int chat = 0; chat < CHATS; chat++) {
+			String home = first(members, "chat-" + chat);
+			List<Member> left = map(members,
+					(member) -> member.id().equals(home) ? member.withState(MemberState.LEAVING) : member);
+			Member next = this.chooser.nextCandidate(POOL, members, "chat-" + chat, home).orElseThrow();
+			assertEquals(next.id(), first(left, "chat-" + chat));
+			assertNotEquals(next.id(), home);
+		}
+	}
+
+	@Test
+	public void aLoadedHolderGivesWayByPreference() {
+		assertEquals(firstOfLoadedHolder(0.0, 9, 8), "lighter");
+		assertEquals(firstOfLoadedHolder(0.5, 10, 8), "holder");
+		assertEquals(firstOfLoadedHolder(0.5, 12, 8), "lighter");
+		assertEquals(firstOfLoadedHolder(1.0, 64, 0), "holder");
+	}
+
+	@Test
+	public void aHolderOfUnknownLoadKeepsItsPlace() {
+		assertEquals(firstOfLoadedHolder(0.0, -1, 0), "holder");
+		assertEquals(firstOfLoadedHolder(0.0, 5, -1), "holder");
+	}
+
+	private String firstOfLoadedHolder(double preference, int holderLoad, int otherLoad) {
+		PoolSpec pool = new PoolSpec("assistant", true, true, 1.25, preference, 2, 64, 512, 30_000, 30_000, 16, 900_000,
+				false, "", List.of());
+		List<Member> members = map(servers(SERVERS),
+				(member) -> member.withLoad(member.id().equals("vm-5") ? holderLoad : otherLoad));
+		String first = this.chooser.plan(pool, members, "chat", Optional.of("vm-5")).get(0).member().id();
+		return first.equals("vm-5") ? "holder" : "lighter";
+	}
+
+	private String first(List<Member> members, String chat) {
+		return this.chooser.rank("assistant", members, chat, 1).get(0).id();
+	}
+
+	private static String other(List<String> ranked, String besides) {
+		return servers(SERVERS).stream()
+			.map(Member::id)
+			.filter((id) -> !ranked.contains(id) && !id.equals(besides))
+			.findFirst()
+			.orElseThrow();
+	}
+
+	private static List<Member> byWeight(List<Member> members, String chat) {
+		long key = RendezvousHash.of("assistant", chat);
+		List<Member> sorted = new ArrayList<>(members);
+		sorted.sort((a, b) -> Long.compare(RendezvousHash.weight(key, RendezvousHash.of(b.id())),
+				RendezvousHash.weight(key, RendezvousHash.of(a.id()))));
+		return sorted;
+	}
+
+	private static List<String> ids(List<Trial> plan) {
+		return plan.stream().map((trial) -> trial.member().id()).toList();
+	}
+
+	private static List<Member> servers(int count) {
+		List<Member> members = new ArrayList<>();
+		for (int i = 0; i < count; i++) {
+			members.add(member("vm-" + i, "domain-" + i % 4, MemberState.LIVE, 0));
+		}
+		return List.copyOf(members);
+	}
+
+	private static List<Member> without(List<Member> members, int index) {
+		List<Member> left = new ArrayList<>(members);
+		left.remove(index);
+		return List.copyOf(left);
+	}
+
+	private static List<Member> map(List<Member> members, UnaryOperator<Member> change) {
+		return members.stream().map(change).toList();
+	}
+
+	private static Member member(String id, String domain, MemberState state, int load) {
+		return new Member(id, Member.AGENT, "127.0.0.1", 0, "tw-north", domain, "assistant", state, load);
+	}
+
+}
