Add the operators' command-line tool and the record pages

Cause: operators control the system only by writing records and reading status, and had no tool for either.

Ruled out: refusing or accepting every unknown field in apply. Refusing all would make a file from a newer version unusable; accepting all would store misspelt names. An unknown field is accepted only if the stored record has it already, and is kept if the file leaves it out. Also ruled out: judging a backlog or a lagging revision from one reading of status, which cannot tell growth from a standing queue or a change on its way from a stuck process; status reads again for up to 7 s in these cases.

Change: commands apply, get, diff, delete, status, backlog, dump, validate, explain and version; conditional writes whose lost answers are settled by reading the object again; launch scripts; reference pages of the three kinds, which explain prints and tests compare with the schema.

--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/cli/Console.java
@@ -0,0 +1,60 @@
+package org.acaciamux.internal.cli;
+
+import java.io.InputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+
+import org.agrona.concurrent.EpochClock;
+import org.agrona.concurrent.SystemEpochClock;
+
+/**
+ * What a command line run reads and writes. Immutable; not thread-safe, because two
+ * writers would mix their lines.
+ *
+ * @param out where results go
+ * @param err where problems go
+ * @param in what {@code -f -} reads
+ * @param environment the environment variables
+ * @param terminal whether {@code out} is a terminal that shows borders and colours
+ * @param clock the time in milliseconds since 1970
+ * @param keepWatching asked before each further round of {@code --watch}
+ */
+public record Console(PrintStream out, PrintStream err, InputStream in, Map<String, String> environment,
+		boolean terminal, EpochClock clock, BooleanSupplier keepWatching) {
+
+	/**
+	 * Return the console of this process.
+	 * @return the console
+	 */
+	public static Console system() {
+		PrintStream out = new PrintStream(System.out, false, StandardCharsets.UTF_8);
+		PrintStream err = new PrintStream(System.err, true, StandardCharsets.UTF_8);
+		Map<String, String> environment = System.getenv();
+		boolean terminal = System.console() != null && !"dumb".equals(environment.get("TERM"));
+		return new Console(out, err, System.in, environment, terminal, SystemEpochClock.INSTANCE, () -> true);
+	}
+
+	boolean colours() {
+		return this.terminal && !this.environment.containsKey("NO_COLOR");
+	}
+
+	void print(List<String> lines) {
+		lines.forEach(this.out::println);
+		this.out.flush();
+	}
+
+	void complain(List<String> lines) {
+		this.out.flush();
+		lines.forEach(this.err::println);
+		this.err.flush();
+	}
+
+	CliExitCode fail(CliFailure failure) {
+		complain(failure.lines());
+		return failure.code();
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/cli/RecordFile.java
@@ -0,0 +1,88 @@
+package org.acaciamux.internal.cli;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.MappingIterator;
+import io.vavr.control.Either;
+
+/**
+ * Reads a file of several YAML documents, each a record. Holds no state; thread-safe.
+ */
+final class RecordFile {
+
+	private static final String STANDARD_INPUT = "-";
+
+	private RecordFile() {
+	}
+
+	/**
+	 * Read the records of a file.
+	 * @param file the file, {@code -} for standard input
+	 * @param in standard input
+	 * @return the documents, at least one, or why there are none
+	 */
+	static Either<CliFailure, List<JsonNode>> read(String file, InputStream in) {
+		try {
+			String text = STANDARD_INPUT.equals(file) ? new String(in.readAllBytes(), StandardCharsets.UTF_8)
+					: Files.readString(Path.of(file));
+			return documents(file, text);
+		}
+		catch (JsonProcessingException ex) {
+			int line = (ex.getLocation() != null) ? ex.getLocation().getLineNr() : 0;
+			return Either.left(CliFailure.of(CliExitCode.INVALID,
+					file + ": line " + line + ": not valid YAML: " + ex.getOriginalMessage(),
+					"next: correct the line, then check with: acaciamux validate -f " + file));
+		}
+		catch (NoSuchFileException ex) {
+			return Either.left(CliFailure.of(CliExitCode.USAGE, file + ": no such file"));
+		}
+		catch (IOException | InvalidPathException ex) {
+			return Either.left(CliFailure.of(CliExitCode.USAGE, file + ": cannot be read: " + ex));
+		}
+	}
+
+	private static Either<CliFailure, List<JsonNode>> documents(String file, String text) throws IOException {
+		List<JsonNode> documents = new ArrayList<>();
+		try (MappingIterator<JsonNode> values = Documents.YAML.readerFor(JsonNode.class).readValues(text)) {
+			while (values.hasNextValue()) {
+				JsonNode document = values.nextValue();
+				if (document != null && !document.isNull() && !document.isMissingNode()) {
+					documents.add(document);
+				}
+			}
+		}
+		if (documents.isEmpty()) {
+			return Either.left(CliFailure.of(CliExitCode.INVALID, file + ": has no record",
+					"next: print a complete example with: acaciamux explain BackendPool"));
+		}
+		return distinct(file, documents);
+	}
+
+	private static Either<CliFailure, List<JsonNode>> distinct(String file, List<JsonNode> documents) {
+		Set<String> seen = new HashSet<>();
+		for (JsonNode document : documents) {
+			if (document.has("name") && !seen.add(subject(document))) {
+				return Either.left(CliFailure.of(CliExitCode.INVALID,
+						file + ": has " + subject(document) + " twice; keep one of the two"));
+			}
+		}
+		return Either.right(documents);
+	}
+
+	static String subject(JsonNode document) {
+		return document.path("kind").asText("(no kind)") + "/" + document.path("name").asText("(no name)");
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/cli/RecordRules.java
@@ -0,0 +1,42 @@
+package org.acaciamux.internal.cli;
+
+import java.util.List;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vavr.control.Either;
+
+/**
+ * What the command line needs to know about records. Implementations are thread-safe.
+ */
+interface RecordRules {
+
+	/**
+	 * List the kinds that operators write.
+	 * @return the kinds
+	 */
+	List<String> kinds();
+
+	/**
+	 * Check a record.
+	 * @param document the whole record
+	 * @return every fault, unknown fields included
+	 */
+	List<RecordFault> check(JsonNode document);
+
+	/**
+	 * Find the fields of a stored record that a file may leave out without removing them:
+	 * fields of a newer version, and fields set aside by a conversion.
+	 * @param document the stored record
+	 * @return their paths
+	 */
+	List<String> foreignPaths(JsonNode document);
+
+	/**
+	 * Convert a record to another schema version; unknown fields are kept.
+	 * @param document the whole record
+	 * @param apiVersion the wanted schema version
+	 * @return the converted record, or why it cannot be converted
+	 */
+	Either<List<RecordFault>, JsonNode> convert(JsonNode document, String apiVersion);
+
+}
