Join the VM list, heartbeats and connections into the member table

Cause: three views of the fleet are all late; acting on one of them alone evicts healthy members or keeps sending work to leaving ones.

Change: MemberTable keeps the state of each member. Leaving wins within an incarnation; an incarnation that was replaced never counts again. Silence is only suspicious in a view that others gave, so a process that hears nothing does not evict anyone.

Ruled out: counting every member without an answer as evidence about the own network. Members that died earlier would count forever.

--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/coordination/membership/MemberTable.java
@@ -0,0 +1,440 @@
+package org.acaciamux.internal.coordination.membership;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.agrona.concurrent.NanoClock;
+
+import org.acaciamux.internal.coordination.platform.VmDirectory.VmEntry;
+import org.acaciamux.internal.coordination.platform.VmDirectory.VmList;
+import org.acaciamux.internal.event.EventLog;
+import org.acaciamux.internal.state.LockRank;
+import org.acaciamux.internal.state.RankedLock;
+
+/**
+ * The fleet as this process sees it, joined from the VM list, heartbeats and connections,
+ * all of which are late. Invariants: leaving wins over every other evidence about the
+ * same incarnation; a member that was lost repeatedly is held out for a growing, bounded
+ * time; while the own network is lost, no member changes for the worse; the number of
+ * members is bounded by the VM list, and what is remembered of past members by
+ * {@link MembershipSettings#pastMembers()}.
+ * <p>
+ * Thread-safe. Reads take no lock; changes take the lock of rank
+ * {@link LockRank#MEMBER_TABLE}.
+ */
+public final class MemberTable implements MembershipView, MembershipEvidence {
+
+	private final RankedLock lock = new RankedLock(LockRank.MEMBER_TABLE);
+
+	private final String self;
+
+	private final MembershipSettings settings;
+
+	private final NanoClock clock;
+
+	private final LossHistory history;
+
+	private final Map<String, MemberHealth> health = new HashMap<>();
+
+	private final Map<String, Long> revisions = new HashMap<>();
+
+	private final Map<String, Long> observedAtMs = new HashMap<>();
+
+	private final Map<String, Member> members = new ConcurrentHashMap<>();
+
+	private volatile Index index = new Index(Map.of(), List.of());
+
+	private final Counter losses;
+
+	private volatile boolean networkLost;
+
+	private long networkLostAtMs;
+
+	private long attributedAtMs = MemberHealth.NEVER;
+
+	/**
+	 * Create an empty table.
+	 * @param self the id of this process's VM
+	 * @param settings times and bounds
+	 * @param clock the monotonic clock
+	 * @param metrics takes the metrics
+	 */
+	public MemberTable(String self, MembershipSettings settings, NanoClock clock, MetricRegistry metrics) {
+		this.self = self;
+		this.settings = settings;
+		this.clock = clock;
+		this.history = new LossHistory(settings);
+		this.losses = metrics.counter("acaciamux.membership.losses");
+		for (MemberState state : MemberState.values()) {
+			String name = "acaciamux.membership.members." + state.name().toLowerCase(Locale.ROOT);
+			metrics.gauge(name, () -> (Gauge<Integer>) () -> count(state));
+		}
+		metrics.gauge("acaciamux.membership.ownNetworkLost", () -> (Gauge<Integer>) () -> this.networkLost ? 1 : 0);
+		metrics.gauge("acaciamux.membership.pastMembers",
+				() -> (Gauge<Integer>) () -> this.lock.get(this.history::size));
+	}
+
+	/**
+	 * Take over the VM list of a region, unless it is older than the one held.
+	 * @param region the region, or {@code all} for the whole fleet
+	 * @param list the list
+	 */
+	public void vmList(String region, VmList list) {
+		this.lock.run(() -> {
+			long held = this.revisions.getOrDefault(region, -1L);
+			if (list.revision() < held) {
+				EventLog.log(MembershipEvent.VM_LIST_OLD, region, list.revision(), held);
+				return;
+			}
+			this.revisions.put(region, list.revision());
+			takeOver(region, list.vms());
+		});
+	}
+
+	private void takeOver(String region, List<VmEntry> vms) {
+		long now = now();
+		Set<String> listed = new HashSet<>();
+		for (VmEntry vm : vms) {
+			listed.add(vm.id());
+			MemberHealth known = this.health.computeIfAbsent(vm.id(), (id) -> new MemberHealth(vm, now));
+			known.list(vm);
+			if (vm.id().equals(this.self)) {
+				known.enter(MemberState.LIVE, now);
+			}
+			update(known, now);
+		}
+		this.health.values()
+			.stream()
+			.filter((known) -> "all".equals(region) || known.vm().region().equals(region))
+			.filter((known) -> !listed.contains(known.vm().id()))
+			.forEach(MemberHealth::unlist);
+		rebuildIndex();
+	}
+
+	private void rebuildIndex() {
+		Map<String, List<String>> agents = new HashMap<>();
+		List<String> routers = new ArrayList<>();
+		for (String id : new TreeSet<>(this.health.keySet())) {
+			VmEntry vm = this.health.get(id).vm();
+			boolean router = Member.ROUTER.equals(vm.role());
+			(router ? routers : agents.computeIfAbsent(vm.pool(), (pool) -> new ArrayList<>())).add(id);
+		}
+		this.index = new Index(agents, routers);
+	}
+
+	@Override
+	public void heardFrom(String id, long incarnation) {
+		heardFrom(id, incarnation, 0);
+	}
+
+	/**
+	 * The member was heard from some time ago, directly or through others.
+	 * @param id the VM's id
+	 * @param incarnation the incarnation of its process
+	 * @param ageMs how long ago, in milliseconds, at least 0
+	 */
+	public void heardFrom(String id, long incarnation, long ageMs) {
+		withMember(id, (known, now) -> {
+			if (known.heard(incarnation, now - ageMs) && ageMs < this.settings.suspectAfterMs()) {
+				revive(known, now);
+			}
+		});
+	}
+
+	private void revive(MemberHealth known, long now) {
+		boolean afterLoss = known.heardAtMs() > known.lostAtMs();
+		boolean recoverable = known.state() != MemberState.LIVE && known.state() != MemberState.LEAVING;
+		if (recoverable && afterLoss && !this.history.heldOut(known.vm().id(), now)) {
+			enter(known, MemberState.LIVE, now);
+		}
+	}
+
+	@Override
+	public void loadOf(String id, int load) {
+		withMember(id, (known, now) -> known.load(load));
+	}
+
+	@Override
+	public void unreachable(String id) {
+		withMember(id, (known, now) -> lose(known, now));
+	}
+
+	private void lose(MemberHealth known, long now) {
+		if (known.vm().id().equals(this.self)) {
+			return;
+		}
+		known.lost(now);
+		judgeOwnNetwork(now);
+		boolean usable = known.state() == MemberState.LIVE || known.state() == MemberState.JOINING;
+		if (this.networkLost || !usable) {
+			return;
+		}
+		if (known.state() == MemberState.LIVE) {
+			noteLoss(known.vm().id(), now);
+		}
+		enter(known, MemberState.SUSPECT, now);
+	}
+
+	private void noteLoss(String id, long now) {
+		this.losses.inc();
+		int count = this.history.lost(id, now);
+		if (count > 1) {
+			EventLog.log(MembershipEvent.MEMBER_HELD_OUT, id, count, this.history.holdMs(count));
+		}
+	}
+
+	@Override
+	public void leaving(String id) {
+		withMember(id, (known, now) -> known.sayLeaving());
+	}
+
+	/**
+	 * A view of a pool was received from another process: members that it shows with old
+	 * heartbeats may be suspected. Without any view nobody is suspected for silence.
+	 * @param pool the pool's name
+	 */
+	public void observed(String pool) {
+		this.lock.run(() -> this.observedAtMs.put(pool, now()));
+	}
+
+	/**
+	 * Move states on with time. Called about every 500 ms.
+	 */
+	public void tick() {
+		this.lock.run(() -> {
+			long now = now();
+			for (MemberHealth known : List.copyOf(this.health.values())) {
+				if (!known.vm().id().equals(this.self)) {
+					age(known, now);
+				}
+			}
+			judgeOwnNetwork(now);
+		});
+	}
+
+	private void age(MemberHealth known, long now) {
+		boolean silent = silent(known);
+		if (silent && known.state() == MemberState.LIVE) {
+			lose(known, now);
+		}
+		if (this.networkLost) {
+			return;
+		}
+		if (!known.listed() && now - known.lastSignMs() >= this.settings.unlistedAfterMs()) {
+			remove(known, now);
+			return;
+		}
+		if (known.state() == MemberState.SUSPECT) {
+			ageSuspect(known, silent, now);
+		}
+		boolean neverSeen = known.state() == MemberState.JOINING && silent;
+		if (neverSeen && now - known.sinceMs() >= this.settings.goneAfterMs()) {
+			enter(known, MemberState.GONE, now);
+		}
+		if (known.state() == MemberState.LEAVING && !known.leaving()) {
+			enter(known, MemberState.JOINING, now);
+		}
+	}
+
+	private void ageSuspect(MemberHealth known, boolean silent, long now) {
+		long inState = now - known.sinceMs();
+		boolean heldOut = this.history.heldOut(known.vm().id(), now);
+		if (silent && inState >= this.settings.goneAfterMs()) {
+			enter(known, MemberState.GONE, now);
+		}
+		else if (!silent && !heldOut && known.heardAtMs() > known.lostAtMs()) {
+			enter(known, MemberState.LIVE, now);
+		}
+		else if (!silent && !heldOut && inState >= this.settings.retryAfterMs()) {
+			enter(known, MemberState.JOINING, now);
+		}
+	}
+
+	// The time of the last view counts, not the present: a process that hears nothing
+	// learns nothing about the others.
+	private boolean silent(MemberHealth known) {
+		Long observed = this.observedAtMs.get(known.vm().pool());
+		return observed != null && observed - known.lastSignMs() > this.settings.suspectAfterMs();
+	}
+
+	private void remove(MemberHealth known, long now) {
+		enter(known, MemberState.GONE, now);
+		this.health.remove(known.vm().id());
+		this.members.remove(known.vm().id());
+		rebuildIndex();
+	}
+
+	private void judgeOwnNetwork(long now) {
+		Collection<MemberHealth> agents = this.health.values()
+			.stream()
+			.filter((known) -> Member.AGENT.equals(known.vm().role()) && !known.vm().id().equals(this.self))
+			.toList();
+		NetworkLoss.Verdict verdict = NetworkLoss.judge(agents, now, this.settings.lossWindowMs());
+		if (!this.networkLost && verdict.ownNetworkLost() && !recentlyAttributed(now)) {
+			loseNetwork(agents, verdict, now);
+		}
+		else if (this.networkLost) {
+			considerReturn(agents, verdict, now);
+		}
+	}
+
+	private boolean recentlyAttributed(long now) {
+		return now - this.attributedAtMs <= 2 * this.settings.lossWindowMs();
+	}
+
+	private void loseNetwork(Collection<MemberHealth> agents, NetworkLoss.Verdict verdict, long now) {
+		this.networkLost = true;
+		this.networkLostAtMs = now;
+		EventLog.log(MembershipEvent.OWN_NETWORK_LOST, verdict.dark());
+		for (MemberHealth agent : agents) {
+			boolean fresh = now - agent.sinceMs() <= this.settings.lossWindowMs();
+			if (agent.state() == MemberState.SUSPECT && fresh) {
+				this.history.undo(agent.vm().id());
+				enter(agent, agent.beforeLoss(), now);
+			}
+		}
+	}
+
+	private void considerReturn(Collection<MemberHealth> agents, NetworkLoss.Verdict verdict, long now) {
+		long lostForMs = now - this.networkLostAtMs;
+		boolean answered = verdict.lit() > 0;
+		if (answered && !verdict.ownNetworkLost()) {
+			this.networkLost = false;
+			EventLog.log(MembershipEvent.OWN_NETWORK_BACK, lostForMs, "members answer again");
+			agents.forEach((agent) -> agent.excuseLoss(now));
+		}
+		else if (answered && lostForMs >= this.settings.lossMaxMs()) {
+			this.networkLost = false;
+			this.attributedAtMs = now;
+			agents.stream()
+				.filter((agent) -> agent.lostFromUse(now - this.settings.lossWindowMs()))
+				.forEach((agent) -> enter(agent, MemberState.SUSPECT, now));
+			EventLog.log(MembershipEvent.OWN_NETWORK_BACK, lostForMs,
+					"one failure domain answers throughout, so the silent ones have failed");
+		}
+	}
+
+	private void update(MemberHealth known, long now) {
+		if (known.leaving() && known.state() != MemberState.LEAVING && known.state() != MemberState.GONE) {
+			enter(known, MemberState.LEAVING, now);
+		}
+		Member member = known.toMember();
+		if (!member.equals(this.members.get(member.id()))) {
+			this.members.put(member.id(), member);
+		}
+	}
+
+	private void enter(MemberHealth known, MemberState state, long now) {
+		if (known.state() != state) {
+			EventLog.log(MembershipEvent.MEMBER_STATE, known.vm().id(), known.state(), state);
+			known.enter(state, now);
+		}
+		update(known, now);
+	}
+
+	private void withMember(String id, Change change) {
+		this.lock.run(() -> {
+			MemberHealth known = this.health.get(id);
+			if (known != null) {
+				long now = now();
+				change.apply(known, now);
+				update(known, now);
+			}
+		});
+	}
+
+	@Override
+	public List<Member> agents(String pool) {
+		return present(this.index.agents.getOrDefault(pool, List.of()));
+	}
+
+	@Override
+	public List<Member> routers() {
+		return present(this.index.routers);
+	}
+
+	/**
+	 * List all members except those that are gone.
+	 * @return the members ordered by id
+	 */
+	public List<Member> all() {
+		return present(new TreeMap<>(this.members).keySet());
+	}
+
+	private List<Member> present(Collection<String> ids) {
+		List<Member> present = new ArrayList<>(ids.size());
+		for (String id : ids) {
+			find(id).ifPresent(present::add);
+		}
+		return List.copyOf(present);
+	}
+
+	@Override
+	public Optional<Member> find(String id) {
+		return Optional.ofNullable(this.members.get(id)).filter((member) -> member.state() != MemberState.GONE);
+	}
+
+	@Override
+	public boolean ownNetworkLost() {
+		return this.networkLost;
+	}
+
+	private long now() {
+		return TimeUnit.NANOSECONDS.toMillis(this.clock.nanoTime());
+	}
+
+	private int count(MemberState state) {
+		return (int) this.members.values().stream().filter((member) -> member.state() == state).count();
+	}
+
+	/**
+	 * Return the state for the admin port.
+	 * @return the members with their states and loads
+	 */
+	public ObjectNode dump() {
+		ObjectNode dump = JsonNodeFactory.instance.objectNode();
+		dump.put("ownNetworkLost", this.networkLost);
+		ObjectNode all = dump.putObject("members");
+		new TreeMap<>(this.members).forEach((id, member) -> all.putObject(id)
+			.put("state", member.state().name())
+			.put("pool", member.pool())
+			.put("failureDomain", member.failureDomain())
+			.put("load", member.load()));
+		return dump;
+	}
+
+	/**
+	 * Changes what is known about a member.
+	 */
+	private interface Change {
+
+		void apply(MemberHealth known, long nowMs);
+
+	}
+
+	/**
+	 * Ids by pool and role, rebuilt only when the VM list changes.
+	 *
+	 * @param agents ids of agents by pool, ordered
+	 * @param routers ids of routers, ordered
+	 */
+	private record Index(Map<String, List<String>> agents, List<String> routers) {
+	}
+
+}
