Add the router role: HTTP front, request parser and request life cycle

Cause: the interfaces between parts stand, but nothing accepts callers' requests.

Each trial has its own request id, so late frames of an earlier trial find nothing. All work of one request runs as serial tasks without a lock held, so links, tables and sinks may be called from it in any lock rank.

Ruled out: a lock per request held while sending. Links and record tables have lower lock ranks than ROUTER_REQUESTS, so they could not be called under it.

--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/coordination/routing/AgentTrial.java
@@ -0,0 +1,284 @@
+package org.acaciamux.internal.coordination.routing;
+
+import com.google.protobuf.ByteString;
+
+import org.acaciamux.FailureCode;
+import org.acaciamux.internal.coordination.membership.MembershipEvidence;
+import org.acaciamux.internal.coordination.routing.RouterMetrics.Count;
+import org.acaciamux.internal.event.EventLog;
+import org.acaciamux.internal.protocol.PeerLink;
+import org.acaciamux.internal.protocol.wire.End;
+import org.acaciamux.internal.protocol.wire.Frame;
+import org.acaciamux.internal.protocol.wire.Refused;
+import org.acaciamux.internal.protocol.wire.RequestId;
+import org.acaciamux.internal.protocol.wire.Resolution;
+import org.acaciamux.internal.protocol.wire.ResponseHead;
+import org.acaciamux.internal.protocol.wire.WireOutcome;
+
+/**
+ * One trial of a request: sent once to one agent, and followed over as many links as it
+ * takes. Invariants: the request is sent over the first link only; frames count only if
+ * they carry the trial's id and come over its current link. Confined to the tasks of the
+ * request.
+ */
+final class AgentTrial implements LinkRecovery.Host, ResponseStream.Host {
+
+	private final RouterShared shared;
+
+	private final RouterCall call;
+
+	private final Trials.Next plan;
+
+	private final RequestId id;
+
+	private final ResponseStream response;
+
+	private final LinkRecovery recovery;
+
+	private PeerLink link;
+
+	private long agentIncarnation;
+
+	private long sentAt;
+
+	private boolean started;
+
+	AgentTrial(RouterShared shared, RouterCall call, Trials.Next plan, RequestId id, long progressTimeoutMs) {
+		this.shared = shared;
+		this.call = call;
+		this.plan = plan;
+		this.id = id;
+		this.response = new ResponseStream(shared, this, progressTimeoutMs);
+		this.recovery = new LinkRecovery(shared, this);
+	}
+
+	void submit(PeerLink to, RoutedRequest request, boolean keyed, long remainingMs, int attempt) {
+		this.link = to;
+		this.agentIncarnation = to.peer().incarnation();
+		this.sentAt = this.shared.now();
+		int credit = this.shared.settings().creditWindowBytes();
+		to.send(Frames.submit(this.id, request, keyed, this.plan, remainingMs, attempt, credit));
+		this.shared.table().attach(this.call, to);
+	}
+
+	boolean started() {
+		return this.started;
+	}
+
+	String agent() {
+		return this.plan.member().id();
+	}
+
+	/**
+	 * Stop following the trial.
+	 * @param cancel whether the agent is told to stop as well
+	 */
+	void end(boolean cancel) {
+		if (cancel) {
+			cancelAtAgent();
+		}
+		this.recovery.stop();
+		leaveLink();
+	}
+
+	void cancelAtAgent() {
+		send(Frames.cancel(this.id));
+	}
+
+	void handle(PeerLink from, RequestId frameId, Frame frame) {
+		if (!frameId.equals(this.id)) {
+			count(Count.DROPPED_UNKNOWN_ID);
+			return;
+		}
+		if (from != this.link) {
+			count(Count.DROPPED_LINK);
+			return;
+		}
+		evidence().heardFrom(agent(), this.agentIncarnation);
+		if (this.recovery.active() && !this.recovery.asked()) {
+			// The silent link works again before a new one was there.
+			this.recovery.stop();
+		}
+		switch (frame.getBodyCase()) {
+			case HEAD -> this.response.head(frame.getHead());
+			case CHUNK -> this.response.chunk(frame.getChunk());
+			case END -> onEnd(frame.getEnd());
+			case REFUSED -> onRefused(frame.getRefused());
+			case RESOLUTION -> onResolution(frame.getResolution());
+			default -> count(Count.DROPPED_STATE);
+		}
+	}
+
+	void linkLost(PeerLink lost, String reason) {
+		if (lost == this.link) {
+			this.link = null;
+			recover(lost, "closed: " + reason);
+		}
+	}
+
+	void linkSilent(PeerLink silent) {
+		if (silent == this.link && !this.recovery.active()) {
+			recover(silent, "silent");
+		}
+	}
+
+	void consumed(long bytes) {
+		this.response.consumed(bytes);
+	}
+
+	void tick() {
+		this.recovery.tick();
+		if (!this.recovery.active()) {
+			this.response.tick();
+		}
+	}
+
+	private void onEnd(End end) {
+		evidence().loadOf(agent(), end.getLoad());
+		if (end.getFailureCode().isEmpty()) {
+			this.response.end(end.getLength());
+			return;
+		}
+		this.call.brokenByAgent(end);
+	}
+
+	private void onRefused(Refused refused) {
+		if (this.started) {
+			count(Count.DROPPED_STATE);
+			return;
+		}
+		evidence().loadOf(agent(), refused.getLoad());
+		if (refused.getFailureCode().equals(FailureCode.DRAINING.code())) {
+			evidence().leaving(agent());
+		}
+		this.call.refused(refused);
+	}
+
+	private void recover(PeerLink lost, String reason) {
+		this.call.step("link to agent %s is %s", agent(), reason);
+		count(Count.RECOVERIES);
+		evidence().unreachable(agent());
+		this.recovery.start(lost, this.plan.member());
+	}
+
+	private void onResolution(Resolution resolution) {
+		if (!this.recovery.asked()) {
+			count(Count.DROPPED_STATE);
+			return;
+		}
+		this.recovery.stop();
+		this.call.step("agent %s resolved: %s", agent(), resolution.getState());
+		if (resolution.getIncarnation() != this.agentIncarnation) {
+			unresolved("its agent restarted and has lost its memory");
+			return;
+		}
+		switch (resolution.getState()) {
+			case STATE_QUEUED, STATE_RUNNING, STATE_ENDED -> this.response.resumeNow();
+			case STATE_NOT_FOUND -> notFound();
+			case STATE_REFUSED -> refusedEarlier(resolution.getOutcome());
+			default -> unresolved("its agent does not tell its state");
+		}
+	}
+
+	private void notFound() {
+		if (this.started || this.shared.passed(this.sentAt, this.shared.settings().agentMemoryMs())) {
+			unresolved("its agent does not know it any more");
+			return;
+		}
+		this.call.notArrived();
+	}
+
+	private void refusedEarlier(WireOutcome outcome) {
+		if (this.started || outcome != WireOutcome.OUTCOME_NOT_RUN) {
+			unresolved("its agent refused it without proof that it did not run");
+			return;
+		}
+		this.call.notArrived();
+	}
+
+	@Override
+	public void later(Runnable task) {
+		this.call.later(task);
+	}
+
+	@Override
+	public boolean moved(PeerLink to) {
+		if (to.peer().incarnation() != this.agentIncarnation) {
+			unresolved("its agent restarted and has lost its memory");
+			return false;
+		}
+		leaveLink();
+		this.link = to;
+		this.shared.table().attach(this.call, to);
+		return true;
+	}
+
+	@Override
+	public void askState() {
+		send(Frames.resolve(this.id));
+	}
+
+	@Override
+	public void unresolved(String reason) {
+		count(Count.UNRESOLVED);
+		EventLog.log(RoutingEvent.REQUEST_UNRESOLVED, this.call.idText(), agent(), reason);
+		broken(FailureCode.AGENT_LOST, "The connection to the agent was lost and the request could not be resolved, "
+				+ "because " + reason + "; it may have run.");
+	}
+
+	@Override
+	public void started(ResponseHead head) {
+		this.started = true;
+		evidence().loadOf(agent(), head.getLoad());
+		this.call.started(head);
+	}
+
+	@Override
+	public void deliver(ByteString data) {
+		this.call.deliver(data);
+	}
+
+	@Override
+	public void complete() {
+		this.call.complete();
+	}
+
+	@Override
+	public void send(Frame frame) {
+		if (this.link != null) {
+			this.link.send(frame);
+		}
+	}
+
+	@Override
+	public RequestId requestId() {
+		return this.id;
+	}
+
+	@Override
+	public void broken(FailureCode code, String detail) {
+		this.call.broken(code, detail);
+	}
+
+	@Override
+	public void invalid(String reason) {
+		EventLog.log(RoutingEvent.RESPONSE_INVALID, this.call.idText(), agent(), reason);
+		broken(FailureCode.PROTOCOL_ERROR, "The response is not usable, because " + reason + ".");
+	}
+
+	private void leaveLink() {
+		if (this.link != null) {
+			this.shared.table().detach(this.call, this.link);
+			this.link = null;
+		}
+	}
+
+	private MembershipEvidence evidence() {
+		return this.shared.context().evidence();
+	}
+
+	private void count(Count count) {
+		this.shared.metrics().count(count);
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/coordination/routing/LinkReplacements.java
@@ -0,0 +1,79 @@
+package org.acaciamux.internal.coordination.routing;
+
+import java.util.IdentityHashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import io.vavr.control.Either;
+
+import org.acaciamux.Failure;
+import org.acaciamux.internal.coordination.membership.Member;
+import org.acaciamux.internal.event.EventLog;
+import org.acaciamux.internal.protocol.PeerLink;
+import org.acaciamux.internal.protocol.PeerLinks;
+import org.acaciamux.internal.state.LockRank;
+import org.acaciamux.internal.state.RankedLock;
+
+/**
+ * Opens one new link for all requests of a lost or silent one. Invariant: at most one
+ * replacement of a link is under way, and all requests of a link move to the same new
+ * link while that one is open. Thread-safe.
+ */
+final class LinkReplacements {
+
+	private final RankedLock lock = new RankedLock(LockRank.LEAF);
+
+	private final Map<PeerLink, CompletableFuture<Either<Failure, PeerLink>>> replacements = new IdentityHashMap<>();
+
+	private final PeerLinks links;
+
+	LinkReplacements(PeerLinks links) {
+		this.links = links;
+	}
+
+	CompletionStage<Either<Failure, PeerLink>> replace(PeerLink old, Member member) {
+		CompletableFuture<Either<Failure, PeerLink>> mine = new CompletableFuture<>();
+		CompletableFuture<Either<Failure, PeerLink>> known = this.lock.get(() -> {
+			CompletableFuture<Either<Failure, PeerLink>> earlier = this.replacements.get(old);
+			if (earlier == null || dead(earlier)) {
+				this.replacements.put(old, mine);
+				return mine;
+			}
+			return earlier;
+		});
+		if (known == mine) {
+			EventLog.log(RoutingEvent.LINK_RECOVERY, member.id());
+			this.links.replace(member).whenComplete((result, error) -> replaced(old, mine, result, error));
+		}
+		return known;
+	}
+
+	/**
+	 * Forget replacements that no request can need any more.
+	 */
+	void tick() {
+		this.lock.run(() -> this.replacements.entrySet().removeIf((entry) -> dead(entry.getValue())));
+	}
+
+	private void replaced(PeerLink old, CompletableFuture<Either<Failure, PeerLink>> mine,
+			Either<Failure, PeerLink> result, Throwable error) {
+		if (error != null) {
+			mine.completeExceptionally(error);
+			return;
+		}
+		mine.complete(result);
+		if (result.isRight() && result.get() != old) {
+			old.close("replaced by a new link");
+		}
+	}
+
+	private static boolean dead(CompletableFuture<Either<Failure, PeerLink>> replacement) {
+		if (!replacement.isDone()) {
+			return false;
+		}
+		return replacement.isCompletedExceptionally()
+				|| replacement.join().fold((failure) -> true, (link) -> !link.isOpen());
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/coordination/routing/RequestService.java
@@ -0,0 +1,17 @@
+package org.acaciamux.internal.coordination.routing;
+
+/**
+ * Runs requests of callers. Implementations are thread-safe and do not block.
+ */
+@FunctionalInterface
+public interface RequestService {
+
+	/**
+	 * Run a request.
+	 * @param request the request
+	 * @param sink receives the response; may be called before this method returns
+	 * @return the handle of the caller's side
+	 */
+	RoutedCall route(RoutedRequest request, ResponseSink sink);
+
+}
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/coordination/routing/ResponseStream.java
@@ -0,0 +1,202 @@
+package org.acaciamux.internal.coordination.routing;
+
+import com.google.protobuf.ByteString;
+
+import org.acaciamux.FailureCode;
+import org.acaciamux.internal.coordination.routing.RouterMetrics.Count;
+import org.acaciamux.internal.protocol.wire.Chunk;
+import org.acaciamux.internal.protocol.wire.Frame;
+import org.acaciamux.internal.protocol.wire.RequestId;
+import org.acaciamux.internal.protocol.wire.ResponseHead;
+
+/**
+ * The response of one trial. Invariants: the head is delivered once, bytes once and in
+ * order, and the end only when all bytes were delivered; a missing piece is asked for a
+ * bounded number of times. Confined to the tasks of the request.
+ */
+final class ResponseStream {
+
+	private static final int MAX_RESUMES = 8;
+
+	private final RouterShared shared;
+
+	private final Host host;
+
+	private final ResponseProgress progress;
+
+	private final long progressTimeoutMs;
+
+	private boolean started;
+
+	private boolean resuming;
+
+	private int resumes;
+
+	private long progressAt;
+
+	private long resumedAt;
+
+	private long takenAt;
+
+	ResponseStream(RouterShared shared, Host host, long progressTimeoutMs) {
+		this.shared = shared;
+		this.host = host;
+		this.progress = new ResponseProgress(shared.settings().creditWindowBytes());
+		this.progressTimeoutMs = progressTimeoutMs;
+	}
+
+	void head(ResponseHead head) {
+		if (this.started) {
+			drop(Count.DROPPED_STATE);
+			return;
+		}
+		if (head.getStatus() < 200 || head.getStatus() > 599) {
+			this.host.invalid("its status is " + head.getStatus());
+			return;
+		}
+		this.started = true;
+		this.resuming = false;
+		this.progressAt = this.shared.now();
+		this.takenAt = this.shared.now();
+		this.host.started(head);
+	}
+
+	void chunk(Chunk chunk) {
+		ResponseProgress.Fit fit = this.started ? this.progress.accept(chunk) : ResponseProgress.Fit.GAP;
+		switch (fit) {
+			case OLD -> drop(Count.DROPPED_OFFSET);
+			case GAP -> {
+				drop(Count.DROPPED_OFFSET);
+				resume();
+			}
+			case NEXT -> {
+				this.progressAt = this.shared.now();
+				this.resuming = false;
+				this.resumes = 0;
+				this.host.deliver(chunk.getData());
+			}
+		}
+	}
+
+	void end(long length) {
+		if (this.started && length == this.progress.expected()) {
+			this.host.complete();
+			return;
+		}
+		if (length < this.progress.expected()) {
+			this.host.invalid("it ends at " + length + " after " + this.progress.expected() + " bytes");
+			return;
+		}
+		drop(Count.DROPPED_OFFSET);
+		resume();
+	}
+
+	void consumed(long bytes) {
+		int credit = this.progress.consumed(bytes);
+		this.takenAt = this.shared.now();
+		if (credit > 0) {
+			this.progressAt = this.shared.now();
+			this.host.send(Frames.credit(this.host.requestId(), credit));
+		}
+	}
+
+	/**
+	 * Ask the agent for everything that was not delivered yet.
+	 */
+	void resumeNow() {
+		this.resumedAt = this.shared.now();
+		this.progressAt = this.shared.now();
+		this.shared.metrics().count(Count.RESUMES);
+		long offset = this.progress.expected();
+		this.host.send(Frames.resume(this.host.requestId(), offset, this.progress.resume()));
+	}
+
+	void tick() {
+		if (!this.started) {
+			return;
+		}
+		long stallMs = this.shared.settings().callerStallMs();
+		if (this.progress.callerHasBytes() && this.shared.passed(this.takenAt, stallMs)) {
+			this.host.broken(FailureCode.CANCELLED,
+					"The caller took no bytes of the response for " + stallMs + " ms; read responses without pauses.");
+			return;
+		}
+		// The agent reports a stalled backend server itself, so it gets a little longer.
+		long limitMs = this.progressTimeoutMs + this.shared.settings().progressSlackMs();
+		if (this.progress.hasCredit() && this.shared.passed(this.progressAt, limitMs)) {
+			this.host.broken(FailureCode.NO_PROGRESS, "The response made no progress for " + limitMs + " ms.");
+			return;
+		}
+		if (this.resuming && this.shared.passed(this.resumedAt, this.shared.settings().resolveRetryMs())) {
+			this.resuming = false;
+			resume();
+		}
+	}
+
+	private void resume() {
+		if (this.resuming) {
+			return;
+		}
+		if (this.resumes == MAX_RESUMES) {
+			this.host.invalid("pieces of it are missing after " + MAX_RESUMES + " attempts to resume it");
+			return;
+		}
+		this.resumes++;
+		this.resuming = true;
+		resumeNow();
+	}
+
+	private void drop(Count count) {
+		this.shared.metrics().count(count);
+	}
+
+	/**
+	 * The request that the response belongs to.
+	 */
+	interface Host {
+
+		/**
+		 * The response begins.
+		 * @param head status and headers
+		 */
+		void started(ResponseHead head);
+
+		/**
+		 * The body continues.
+		 * @param data the next bytes
+		 */
+		void deliver(ByteString data);
+
+		/**
+		 * The response is complete.
+		 */
+		void complete();
+
+		/**
+		 * Send a frame to the agent if there is a link.
+		 * @param frame the frame
+		 */
+		void send(Frame frame);
+
+		/**
+		 * Return the id of the current trial.
+		 * @return the id
+		 */
+		RequestId requestId();
+
+		/**
+		 * The response cannot be completed.
+		 * @param code the code for the caller
+		 * @param detail what happened, why, and what to do next
+		 */
+		void broken(FailureCode code, String detail);
+
+		/**
+		 * The response contradicts the protocol between processes.
+		 * @param reason what is wrong
+		 */
+		void invalid(String reason);
+
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/coordination/routing/RouterCall.java
@@ -0,0 +1,376 @@
+package org.acaciamux.internal.coordination.routing;
+
+import com.google.protobuf.ByteString;
+import io.vavr.control.Either;
+
+import org.acaciamux.Failure;
+import org.acaciamux.FailureCode;
+import org.acaciamux.Outcome;
+import org.acaciamux.internal.coordination.routing.RouterMetrics.Count;
+import org.acaciamux.internal.protocol.PeerLink;
+import org.acaciamux.internal.protocol.wire.End;
+import org.acaciamux.internal.protocol.wire.Frame;
+import org.acaciamux.internal.protocol.wire.Refused;
+import org.acaciamux.internal.protocol.wire.RequestId;
+import org.acaciamux.internal.protocol.wire.ResponseHead;
+import org.acaciamux.internal.protocol.wire.WireOutcome;
+import org.acaciamux.internal.state.record.PoolSpec;
+
+/**
+ * The life cycle of one request in a router. Invariants: the sink gets exactly one end; a
+ * new trial starts only when the earlier one is proved not to run; {@code not-run} is
+ * told only when no trial can run. All work runs serially as {@link SerialTasks}, so the
+ * request may be used by any thread.
+ */
+final class RouterCall implements RoutedCall {
+
+	private final SerialTasks tasks = new SerialTasks();
+
+	private final RouterShared shared;
+
+	private final RoutedRequest request;
+
+	private final PoolSpec pool;
+
+	private final ResponseSink sink;
+
+	private final Trials trials;
+
+	private final RouteTrace trace;
+
+	private final boolean keyed;
+
+	private final long startedAt;
+
+	private final long deadlineAt;
+
+	private volatile String state = "waits";
+
+	private RequestId id = RequestId.getDefaultInstance();
+
+	private Trials.Next next;
+
+	private AgentTrial trial;
+
+	private long connectingAt;
+
+	private int connection;
+
+	private boolean ended;
+
+	/**
+	 * Whether the current trial may run: it was sent and no proof of the contrary is
+	 * known.
+	 */
+	private boolean mayRun;
+
+	private boolean sentBefore;
+
+	RouterCall(RouterShared shared, RoutedRequest request, PoolSpec pool, boolean keyed, Trials trials,
+			ResponseSink sink, RouteTrace trace) {
+		this.shared = shared;
+		this.request = request;
+		this.pool = pool;
+		this.keyed = keyed;
+		this.trials = trials;
+		this.sink = sink;
+		this.trace = trace;
+		this.startedAt = shared.now();
+		this.deadlineAt = this.startedAt + RouterShared.nanos(request.deadlineMs());
+	}
+
+	void start() {
+		later(() -> {
+			newId();
+			nextTrial();
+		});
+	}
+
+	void handle(PeerLink from, RequestId frameId, Frame frame) {
+		later(() -> {
+			if (this.trial == null) {
+				this.shared.metrics().count(Count.DROPPED_UNKNOWN_ID);
+				return;
+			}
+			this.trial.handle(from, frameId, frame);
+		});
+	}
+
+	void linkLost(PeerLink lost, String reason) {
+		inTrial(() -> this.trial.linkLost(lost, reason));
+	}
+
+	void linkSilent(PeerLink silent) {
+		inTrial(() -> this.trial.linkSilent(silent));
+	}
+
+	@Override
+	public void consumed(long bytes) {
+		inTrial(() -> this.trial.consumed(bytes));
+	}
+
+	@Override
+	public void cancel() {
+		later(() -> {
+			if (!this.ended) {
+				this.shared.metrics().count(Count.CANCELLED);
+				end(true, "cancelled: the caller went away");
+			}
+		});
+	}
+
+	void tick() {
+		later(() -> {
+			if (!this.ended) {
+				checkLimits();
+			}
+		});
+	}
+
+	void later(Runnable task) {
+		this.tasks.run(task);
+	}
+
+	/**
+	 * Describe the request for the report of a drain. May be slightly out of date.
+	 * @return the state and the age
+	 */
+	String describe() {
+		return this.state + ", " + RouterShared.millis(this.shared.now() - this.startedAt) + " ms old";
+	}
+
+	String idText() {
+		return Long.toHexString(this.id.getIncarnation()) + "-" + this.id.getSequence();
+	}
+
+	void step(String template, Object... args) {
+		this.trace.step(this.shared.now(), template, args);
+	}
+
+	private void inTrial(Runnable task) {
+		later(() -> {
+			if (this.trial != null) {
+				task.run();
+			}
+		});
+	}
+
+	private void newId() {
+		this.id = this.shared.table().newId(this);
+		this.trace.requestId(idText());
+	}
+
+	private void nextTrial() {
+		leaveTrial(false);
+		this.next = this.trials.next().orElse(null);
+		if (this.next == null) {
+			fail(own(this.trials.exhausted(), this.trials.detail()));
+			return;
+		}
+		state("connects to");
+		this.connectingAt = this.shared.now();
+		int mine = ++this.connection;
+		this.shared.context().links().link(this.next.member()).whenComplete((result, error) -> later(() -> {
+			if (mine == this.connection) {
+				connected(result, error);
+			}
+		}));
+	}
+
+	private void connected(Either<Failure, PeerLink> result, Throwable error) {
+		this.connection++;
+		if (error != null || result.isLeft()) {
+			unreachable((error != null) ? error.toString() : result.getLeft().detail());
+			return;
+		}
+		if (!result.get().isOpen()) {
+			unreachable("the link was closed at once");
+			return;
+		}
+		submit(result.get());
+	}
+
+	private void unreachable(String reason) {
+		step("agent %s is not reachable: %s", this.next.member().id(), reason);
+		this.shared.context().evidence().unreachable(this.next.member().id());
+		this.trials.notReached(false);
+		nextTrial();
+	}
+
+	private void submit(PeerLink link) {
+		long remaining = RouterShared.millis(this.deadlineAt - this.shared.now());
+		if (remaining <= 0) {
+			deadlinePassed();
+			return;
+		}
+		if (this.sentBefore) {
+			this.shared.table().forgetId(this.id);
+			newId();
+		}
+		step("sent to agent %s%s", this.next.member().id(), this.next.last() ? " as last trial" : "");
+		state("waits for");
+		this.shared.metrics().count(Count.TRIALS);
+		this.mayRun = true;
+		int attempt = this.sentBefore ? 0 : this.request.attempt();
+		this.sentBefore = true;
+		this.trial = new AgentTrial(this.shared, this, this.next, this.id, this.pool.progressTimeoutMs());
+		this.trial.submit(link, this.request, this.keyed, remaining, attempt);
+	}
+
+	void refused(Refused refused) {
+		step("agent %s refused: %s, load %d of %d, %d queued", this.trial.agent(), refused.getFailureCode(),
+				refused.getLoad(), refused.getLimit(), refused.getQueued());
+		this.mayRun = refused.getOutcome() != WireOutcome.OUTCOME_NOT_RUN;
+		FailureCode code = code(refused.getFailureCode());
+		if (goesOn(code, refused)) {
+			this.trials.redirected(refused);
+			nextTrial();
+			return;
+		}
+		fail(new Failure(code, outcome(refused.getOutcome()), refused.getDetail(), refused.getRetryAfterMs()));
+	}
+
+	private boolean goesOn(FailureCode code, Refused refused) {
+		if (code == FailureCode.REQUEST_SUSPECT || code == FailureCode.REQUEST_QUARANTINED) {
+			return false;
+		}
+		if (refused.getRedirect() && (!this.mayRun || code == FailureCode.NOT_OWNER)) {
+			this.shared.metrics().count(Count.REDIRECTS);
+			return true;
+		}
+		boolean serverOnly = code == FailureCode.BACKEND_DOWN || code == FailureCode.DRAINING;
+		return serverOnly && !this.mayRun && !this.keyed && !this.next.last() && retryAllowed();
+	}
+
+	void notArrived() {
+		this.mayRun = false;
+		if (!retryAllowed()) {
+			fail(own(FailureCode.AGENT_UNREACHABLE, "The request was lost on its way to the agent and the retry budget "
+					+ "is used up; send it again after the delay."));
+			return;
+		}
+		this.trials.notReached(true);
+		nextTrial();
+	}
+
+	private boolean retryAllowed() {
+		boolean allowed = this.shared.budget().tryRetry();
+		this.shared.metrics().count(allowed ? Count.RETRIES : Count.RETRIES_DENIED);
+		return allowed;
+	}
+
+	void started(ResponseHead head) {
+		this.shared.metrics().head(this.shared.now() - this.startedAt);
+		if (!head.getReplayed() && !head.getServer().isEmpty()) {
+			this.request.chat()
+				.ifPresent((chat) -> this.shared.context().chooser().served(this.pool.name(), chat, head.getServer()));
+		}
+		step("response with status %d and load %d", head.getStatus(), head.getLoad());
+		state("streams from");
+		this.sink.head(head, idText());
+	}
+
+	void deliver(ByteString data) {
+		this.sink.body(data);
+	}
+
+	void complete() {
+		this.shared.metrics().count(Count.ANSWERED);
+		end(false, "answered");
+		this.sink.end();
+	}
+
+	void brokenByAgent(End end) {
+		fail(new Failure(code(end.getFailureCode()), outcome(end.getOutcome()), end.getDetail(),
+				this.shared.settings().retryAfterMs()));
+	}
+
+	void broken(FailureCode code, String detail) {
+		this.trial.cancelAtAgent();
+		fail(own(code, detail));
+	}
+
+	private void checkLimits() {
+		boolean started = this.trial != null && this.trial.started();
+		long grace = (this.trial != null) ? this.shared.settings().deadlineGraceMs() : 0;
+		if (!started && this.shared.passed(this.deadlineAt, grace)) {
+			deadlinePassed();
+			return;
+		}
+		if (this.trial != null) {
+			this.trial.tick();
+			return;
+		}
+		if (this.shared.passed(this.connectingAt, this.shared.settings().connectLimitMs())) {
+			this.connection++;
+			unreachable("no connection within " + this.shared.settings().connectLimitMs() + " ms");
+		}
+	}
+
+	private void deadlinePassed() {
+		if (this.trial != null) {
+			this.trial.cancelAtAgent();
+		}
+		fail(own(FailureCode.DEADLINE_EXCEEDED, "The deadline of " + this.request.deadlineMs()
+				+ " ms passed before a response began; send the request again with a later deadline."));
+	}
+
+	/**
+	 * Create a failure that the router itself has found, with the outcome it can prove.
+	 * @param code the code
+	 * @param detail what happened, why, and what to do next
+	 * @return the failure
+	 */
+	private Failure own(FailureCode code, String detail) {
+		Outcome outcome = this.mayRun ? Outcome.UNKNOWN : this.request.outcomeIfNeverSent();
+		return new Failure(code, outcome, detail, this.shared.settings().retryAfterMs());
+	}
+
+	private void fail(Failure failure) {
+		boolean started = this.trial != null && this.trial.started();
+		this.shared.metrics().failed(failure);
+		end(false, failure.code().code() + ", " + failure.outcome().headerValue());
+		if (started) {
+			this.shared.metrics().count(Count.ABORTED);
+			this.sink.abort(failure);
+		}
+		else {
+			this.sink.fail(failure, idText());
+		}
+	}
+
+	private void end(boolean cancel, String result) {
+		this.ended = true;
+		this.connection++;
+		leaveTrial(cancel);
+		this.trace.result(result);
+		step("ended: %s", result);
+		this.shared.metrics().total(this.shared.now() - this.startedAt);
+		this.shared.table().forgetId(this.id);
+		this.shared.table().remove(this);
+	}
+
+	private void leaveTrial(boolean cancel) {
+		if (this.trial != null) {
+			this.trial.end(cancel);
+			this.trial = null;
+		}
+	}
+
+	private void state(String verb) {
+		this.state = "request " + idText() + " " + verb + " agent " + this.next.member().id();
+	}
+
+	private static FailureCode code(String text) {
+		return FailureCode.of(text).orElse(FailureCode.PROTOCOL_ERROR);
+	}
+
+	private static Outcome outcome(WireOutcome outcome) {
+		return switch (outcome) {
+			case OUTCOME_ANSWERED -> Outcome.ANSWERED;
+			case OUTCOME_NOT_RUN -> Outcome.NOT_RUN;
+			default -> Outcome.UNKNOWN;
+		};
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/coordination/routing/RouterSettings.java
@@ -0,0 +1,35 @@
+package org.acaciamux.internal.coordination.routing;
+
+/**
+ * Limits of a router's requests. Immutable and thread-safe.
+ *
+ * @param maxInFlight requests that the router holds at once, at least 1
+ * @param creditWindowBytes bytes of one response that may be under way to the caller, at
+ * least 1,024
+ * @param connectLimitMs longest wait for a link before the next server is tried
+ * @param deadlineGraceMs time past the deadline that the agent's own, more exact answer
+ * may take
+ * @param agentMemoryMs time for which an agent remembers a request after its end; within
+ * this time after sending, "not found" proves that the request never arrived
+ * @param resolveLimitMs longest time without a working link to the agent before a request
+ * is given up
+ * @param resolveRetryMs pause between two attempts to reopen a link, to resolve or to
+ * resume
+ * @param progressSlackMs time past the pool's progress limit that the agent's own answer
+ * may take
+ * @param callerStallMs longest time that a caller may leave bytes untaken
+ * @param retryAfterMs delay that refused callers are told
+ */
+public record RouterSettings(int maxInFlight, int creditWindowBytes, long connectLimitMs, long deadlineGraceMs,
+		long agentMemoryMs, long resolveLimitMs, long resolveRetryMs, long progressSlackMs, long callerStallMs,
+		long retryAfterMs) {
+
+	/**
+	 * Return the default limits.
+	 * @return the limits
+	 */
+	public static RouterSettings defaults() {
+		return new RouterSettings(20_000, 256 << 10, 2_000, 250, 10_000, 10_000, 500, 1_000, 60_000, 1_000);
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/coordination/routing/Trials.java
@@ -0,0 +1,55 @@
+package org.acaciamux.internal.coordination.routing;
+
+import java.util.Optional;
+
+import org.acaciamux.FailureCode;
+import org.acaciamux.internal.coordination.membership.Member;
+import org.acaciamux.internal.protocol.wire.Refused;
+
+/**
+ * The servers that a request is tried at. Implementations are confined to the tasks of
+ * one request and end after a bounded number of trials.
+ */
+interface Trials {
+
+	/**
+	 * Return the next trial.
+	 * @return the trial, or empty if none is left
+	 */
+	Optional<Next> next();
+
+	/**
+	 * Note that the agent of the last trial sent the request on.
+	 * @param refused the agent's answer
+	 */
+	void redirected(Refused refused);
+
+	/**
+	 * Note that the request never reached the agent of the last trial.
+	 * @param alive whether the agent itself said so
+	 */
+	void notReached(boolean alive);
+
+	/**
+	 * Return why no trial is left.
+	 * @return the code for the caller
+	 */
+	FailureCode exhausted();
+
+	/**
+	 * Return what the caller is told when no trial is left.
+	 * @return what happened, why, and what to do next
+	 */
+	String detail();
+
+	/**
+	 * One trial.
+	 *
+	 * @param member the agent
+	 * @param warm whether its server is believed to hold the chat's context
+	 * @param last whether the agent must queue or refuse the request
+	 */
+	record Next(Member member, boolean warm, boolean last) {
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/CallerResponse.java
@@ -0,0 +1,272 @@
+package org.acaciamux.internal.transport.http;
+
+import java.util.function.BooleanSupplier;
+
+import com.google.protobuf.ByteString;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+
+import org.acaciamux.Failure;
+import org.acaciamux.FailureCode;
+import org.acaciamux.Outcome;
+import org.acaciamux.internal.coordination.routing.ResponseSink;
+import org.acaciamux.internal.coordination.routing.RoutedCall;
+import org.acaciamux.internal.protocol.Headers;
+import org.acaciamux.internal.protocol.Problem;
+import org.acaciamux.internal.protocol.wire.Header;
+import org.acaciamux.internal.protocol.wire.ResponseHead;
+
+/**
+ * Writes one response to a caller. Invariants: bytes count as consumed only when the
+ * socket has taken them; a response that is not complete never looks complete. The
+ * methods of {@link ResponseSink} may be called from any thread and are carried out on
+ * the connection's event loop; everything else is confined to it.
+ */
+final class CallerResponse implements ResponseSink {
+
+	private static final long CHUNKED = -1;
+
+	private final ChannelHandlerContext context;
+
+	private final HttpRequest request;
+
+	private final BooleanSupplier draining;
+
+	private final Done done;
+
+	private RoutedCall call;
+
+	private boolean finished;
+
+	private boolean keepAlive;
+
+	private boolean bodiless;
+
+	private boolean endsWithClose;
+
+	private long remaining = CHUNKED;
+
+	/**
+	 * Create a response.
+	 * @param context the connection
+	 * @param request the request, or null if the connection closes after the response
+	 * @param draining whether the connection closes after the response
+	 * @param done called when the response is written
+	 */
+	CallerResponse(ChannelHandlerContext context, HttpRequest request, BooleanSupplier draining, Done done) {
+		this.context = context;
+		this.request = request;
+		this.draining = draining;
+		this.done = done;
+	}
+
+	void started(RoutedCall call) {
+		this.call = call;
+	}
+
+	void callerGone() {
+		this.finished = true;
+		if (this.call != null) {
+			this.call.cancel();
+		}
+	}
+
+	@Override
+	public void head(ResponseHead head, String requestId) {
+		onLoop(() -> writeHead(head, requestId));
+	}
+
+	@Override
+	public void body(ByteString data) {
+		onLoop(() -> writeBody(data));
+	}
+
+	@Override
+	public void end() {
+		onLoop(this::writeEnd);
+	}
+
+	@Override
+	public void fail(Failure failure, String requestId) {
+		onLoop(() -> writeProblem(failure, requestId));
+	}
+
+	@Override
+	public void abort(Failure failure) {
+		onLoop(this::breakOff);
+	}
+
+	private void onLoop(Runnable step) {
+		// Deferred even on the event loop itself: a step run at once would overtake steps
+		// that another thread handed over before.
+		this.context.executor().execute(() -> {
+			if (!this.finished) {
+				step.run();
+			}
+		});
+	}
+
+	private void writeHead(ResponseHead head, String requestId) {
+		HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1,
+				HttpResponseStatus.valueOf(head.getStatus()));
+		try {
+			copyHeaders(head, response);
+		}
+		catch (IllegalArgumentException ex) {
+			this.call.cancel();
+			writeProblem(
+					Failure.unknown(FailureCode.PROTOCOL_ERROR,
+							"The backend server's response has a header that "
+									+ "is not valid HTTP and cannot be passed on; correct the backend server.",
+							0),
+					requestId);
+			return;
+		}
+		response.headers().set(Headers.OUTCOME, Outcome.ANSWERED.headerValue());
+		response.headers().set(Headers.REQUEST_ID, requestId);
+		if (!head.getServer().isEmpty()) {
+			response.headers().set(Headers.SERVER, head.getServer());
+			response.headers().set(Headers.AFFINITY, head.getServer());
+		}
+		if (head.getReplayed()) {
+			response.headers().set(Headers.REPLAYED, "true");
+		}
+		frame(response);
+		this.context.writeAndFlush(response);
+	}
+
+	private void copyHeaders(ResponseHead head, HttpResponse response) {
+		HopHeaders hop = HopHeaders.ofResponse(head.getHeadersList()
+			.stream()
+			.filter((header) -> header.getName().equalsIgnoreCase("connection"))
+			.map(Header::getValue)
+			.toList());
+		for (Header header : head.getHeadersList()) {
+			if (!hop.contains(header.getName())) {
+				response.headers().add(header.getName(), header.getValue());
+			}
+		}
+	}
+
+	private void frame(HttpResponse response) {
+		int status = response.status().code();
+		boolean head = this.request.method().equals(HttpMethod.HEAD);
+		this.bodiless = head || status == 204 || status == 304 || status < 200;
+		this.keepAlive = HttpUtil.isKeepAlive(this.request) && !this.draining.getAsBoolean();
+		if (!this.bodiless && !hasLength(response)) {
+			response.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
+			boolean chunks = this.request.protocolVersion().equals(HttpVersion.HTTP_1_1);
+			HttpUtil.setTransferEncodingChunked(response, chunks);
+			this.endsWithClose = !chunks;
+			this.keepAlive = this.keepAlive && chunks;
+		}
+		HttpUtil.setKeepAlive(response, this.keepAlive);
+	}
+
+	private boolean hasLength(HttpResponse response) {
+		try {
+			this.remaining = HttpUtil.getContentLength(response, CHUNKED);
+		}
+		catch (NumberFormatException ex) {
+			this.remaining = CHUNKED;
+		}
+		return this.remaining >= 0;
+	}
+
+	private void writeBody(ByteString data) {
+		if (this.bodiless) {
+			this.call.consumed(data.size());
+			return;
+		}
+		if (this.remaining != CHUNKED && data.size() > this.remaining) {
+			breakOff();
+			return;
+		}
+		if (this.remaining != CHUNKED) {
+			this.remaining -= data.size();
+		}
+		DefaultHttpContent content = new DefaultHttpContent(Unpooled.wrappedBuffer(data.asReadOnlyByteBuffer()));
+		this.context.writeAndFlush(content).addListener((future) -> {
+			if (future.isSuccess()) {
+				this.call.consumed(data.size());
+			}
+		});
+	}
+
+	private void writeEnd() {
+		if (!this.bodiless && this.remaining > 0) {
+			breakOff();
+			return;
+		}
+		this.finished = true;
+		finish(this.context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+	}
+
+	private void writeProblem(Failure failure, String requestId) {
+		this.finished = true;
+		this.keepAlive = this.request != null && HttpUtil.isKeepAlive(this.request) && !this.draining.getAsBoolean();
+		Problem problem = new Problem(failure, requestId);
+		byte[] body = problem.body();
+		DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+				HttpResponseStatus.valueOf(problem.status()), Unpooled.wrappedBuffer(body));
+		response.headers().set(HttpHeaderNames.CONTENT_TYPE, Problem.MEDIA_TYPE);
+		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+		response.headers().set(Headers.OUTCOME, failure.outcome().headerValue());
+		if (!requestId.isEmpty()) {
+			response.headers().set(Headers.REQUEST_ID, requestId);
+		}
+		if (failure.retryAfterMs() > 0) {
+			response.headers().set(HttpHeaderNames.RETRY_AFTER, problem.retryAfterSeconds());
+		}
+		HttpUtil.setKeepAlive(response, this.keepAlive);
+		finish(this.context.writeAndFlush(response));
+	}
+
+	private void finish(ChannelFuture written) {
+		written.addListener((future) -> {
+			if (future.isSuccess()) {
+				this.done.responded(this.keepAlive);
+			}
+		});
+	}
+
+	private void breakOff() {
+		this.finished = true;
+		if (this.call != null) {
+			this.call.cancel();
+		}
+		if (this.endsWithClose) {
+			// Without chunks the caller can tell a broken response only by a reset.
+			this.context.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+		}
+		this.context.close();
+	}
+
+	/**
+	 * Called when a response is written.
+	 */
+	@FunctionalInterface
+	interface Done {
+
+		/**
+		 * The response is written.
+		 * @param keepAlive whether the connection can take another request
+		 */
+		void responded(boolean keepAlive);
+
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/HopHeaders.java
@@ -0,0 +1,45 @@
+package org.acaciamux.internal.transport.http;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+
+/**
+ * The headers of one message that concern only its connection or its framing and are not
+ * passed on. Immutable and thread-safe.
+ */
+final class HopHeaders {
+
+	private static final Set<String> FIXED = Set.of("connection", "keep-alive", "proxy-connection",
+			"proxy-authenticate", "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade");
+
+	private static final Set<String> REQUEST_ONLY = Set.of("host", "content-length", "expect");
+
+	private final Set<String> names;
+
+	private HopHeaders(Set<String> names) {
+		this.names = names;
+	}
+
+	static HopHeaders ofRequest(List<String> connection) {
+		HopHeaders result = ofResponse(connection);
+		result.names.addAll(REQUEST_ONLY);
+		return result;
+	}
+
+	static HopHeaders ofResponse(List<String> connection) {
+		Set<String> names = new HashSet<>(FIXED);
+		for (String value : connection) {
+			for (String token : value.split(",")) {
+				names.add(token.trim().toLowerCase(Locale.ROOT));
+			}
+		}
+		return new HopHeaders(names);
+	}
+
+	boolean contains(String name) {
+		return this.names.contains(name.toLowerCase(Locale.ROOT));
+	}
+
+}
