--- /dev/null
+++ b/examples/src/main/java/org/acaciamux/examples/demo/Demo.java
@@ -0,0 +1,168 @@
+package org.acaciamux.examples.demo;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+import org.acaciamux.examples.harness.CallKeys;
+import org.acaciamux.examples.harness.Caller.Answer;
+import org.acaciamux.examples.harness.Daemon;
+import org.acaciamux.examples.harness.DaemonSpec;
+import org.acaciamux.examples.harness.Fleet;
+import org.acaciamux.examples.harness.ManagedProcess;
+
+/**
+ * Runs a small kiosk fleet, sends a chat twice and a charge twice, and checks what comes
+ * back. Ends with exit code 0 only if everything was as expected. Not thread-safe.
+ */
+public final class Demo {
+
+	private static final String REGION = "tw-north";
+
+	private static final long STOP_SECONDS = 30;
+
+	private final Fleet fleet;
+
+	private final List<Daemon> daemons = new ArrayList<>();
+
+	private final List<ManagedProcess> services = new ArrayList<>();
+
+	private final List<String> problems = new ArrayList<>();
+
+	private Demo(Fleet fleet) {
+		this.fleet = fleet;
+	}
+
+	/**
+	 * Run the demonstration.
+	 * @param args the directory of the records
+	 */
+	public static void main(String[] args) {
+		Path records = Path.of((args.length > 0) ? args[0] : "examples/records");
+		List<String> problems;
+		try (Fleet fleet = Fleet.start()) {
+			problems = new Demo(fleet).run(records);
+		}
+		problems.forEach((problem) -> System.out.println("NOT AS EXPECTED: " + problem));
+		System.out.println(problems.isEmpty() ? "demo: everything was as expected" : "demo: failed");
+		System.exit(problems.isEmpty() ? 0 : 1);
+	}
+
+	private List<String> run(Path records) {
+		this.fleet.writeRecords(records.resolve("kiosk"));
+		this.fleet.writeRecords(records.resolve("rota"));
+		startFleet();
+		Daemon first = this.daemons.get(0);
+		Daemon second = this.daemons.get(1);
+		this.fleet.awaitPool(first, "kiosk-writer", 3);
+		this.fleet.awaitPool(second, "kiosk-writer", 3);
+		this.fleet.awaitPool(first, "kiosk-ordering", 2);
+		this.fleet.awaitPool(second, "kiosk-ordering", 2);
+		showChats(first, second);
+		showCharges(first, second);
+		showStatus();
+		stop();
+		return this.problems;
+	}
+
+	private void startFleet() {
+		for (int i = 0; i < 2; i++) {
+			start(DaemonSpec.router("router-" + (i + 1), REGION, domain(i)));
+		}
+		for (int i = 0; i < 3; i++) {
+			ManagedProcess engine = this.fleet.startEngine("engine-" + (i + 1));
+			start(DaemonSpec.agent("writer-" + (i + 1), REGION, domain(i), "kiosk-writer", engine.hostPort()));
+		}
+		for (int i = 0; i < 2; i++) {
+			ManagedProcess service = this.fleet.startPlainService("ordering-service-" + (i + 1));
+			this.services.add(service);
+			start(DaemonSpec.agent("ordering-" + (i + 1), REGION, domain(i), "kiosk-ordering", service.hostPort()));
+		}
+		this.daemons.forEach(this.fleet::awaitReady);
+	}
+
+	private void start(DaemonSpec spec) {
+		Daemon daemon = this.fleet.start(spec);
+		this.daemons.add(daemon);
+		System.out.printf("started %s %s in %s as process %d%n", spec.role(), spec.id(), spec.failureDomain(),
+				daemon.process().pid());
+	}
+
+	private static String domain(int index) {
+		return REGION + "-" + (char) ('a' + index);
+	}
+
+	private void showChats(Daemon first, Daemon second) {
+		Answer opening = chat(first, Map.of());
+		String token = opening.header("Acaciamux-Affinity");
+		Answer return1 = chat(second, token.isEmpty() ? Map.of() : Map.of("Acaciamux-Affinity", token));
+		expect(opening.status() == 200 && opening.body().contains("[DONE]"), "the first chat is answered: " + opening);
+		expect(opening.body().contains("\"contextHeld\":false"), "the first chat finds no context");
+		expect(return1.status() == 200 && return1.body().contains("[DONE]"), "the second chat is answered: " + return1);
+		expect(return1.body().contains("\"contextHeld\":true"), "the returning chat finds its context");
+	}
+
+	private Answer chat(Daemon router, Map<String, String> more) {
+		Map<String, String> headers = new java.util.HashMap<>(more);
+		headers.putAll(Map.of("Acaciamux-Chat", "plan-week-32", "Acaciamux-Organisation", "harbour-kiosks",
+				"Acaciamux-Priority", "stock-plan"));
+		Answer answer = this.fleet.caller()
+			.send("POST", router.httpPort(), "/pools/kiosk-writer/v1/chat/completions",
+					"{\"chat\":\"plan-week-32\",\"prompt\":\"plan the stock for week 32\",\"maxTokens\":12}", headers);
+		System.out.printf("chat through %s: status %d, ran on %s, context held: %s, %d tokens%n", router.id(),
+				answer.status(), answer.header("Acaciamux-Server"), answer.body().contains("\"contextHeld\":true"),
+				answer.body().split("\"token\"", -1).length - 1);
+		return answer;
+	}
+
+	private void showCharges(Daemon first, Daemon second) {
+		String key = CallKeys.next();
+		Answer once = charge(first, key, 1);
+		Answer again = charge(second, key, 2);
+		expect(once.status() == 201, "the charge is made: " + once);
+		expect(again.status() == 201 && again.body().equals(once.body()), "the repeated charge gets the same answer");
+		expect(again.header("Acaciamux-Replayed").equals("true"), "the repeated charge is marked as replayed");
+		int executions = this.services.stream().mapToInt((service) -> executions(service, key)).sum();
+		System.out.println("executions of the charge in all ordering services: " + executions);
+		expect(executions == 1, "the charge ran exactly once");
+	}
+
+	private Answer charge(Daemon router, String key, int attempt) {
+		Answer answer = this.fleet.sendPatiently("POST", router, "/pools/kiosk-ordering/charges", "{\"amount\":42}",
+				Map.of("Idempotency-Key", key, "Acaciamux-Organisation", "harbour-kiosks", "Acaciamux-Priority",
+						"charge", "Acaciamux-Attempt", Integer.toString(attempt)));
+		System.out.printf("charge through %s: status %d, ran on %s, outcome %s, replayed: %s, answer %s%n", router.id(),
+				answer.status(), answer.header("Acaciamux-Server"), answer.header("Acaciamux-Outcome"),
+				answer.header("Acaciamux-Replayed").equals("true"), answer.body());
+		return answer;
+	}
+
+	private int executions(ManagedProcess service, String key) {
+		return this.fleet.caller().get(service.port(), "/control/state").json().path("executions").path(key).asInt();
+	}
+
+	private void showStatus() {
+		for (Daemon daemon : this.daemons) {
+			Answer status = this.fleet.caller().get(daemon.adminPort(), "/status");
+			System.out.println("status of " + daemon.id() + ": " + status.body().strip());
+			expect(status.status() == 200, "the status of " + daemon.id() + " can be read: " + status);
+		}
+	}
+
+	private void stop() {
+		for (Daemon daemon : this.daemons) {
+			daemon.process().terminate();
+			int code = daemon.process().awaitExit(STOP_SECONDS);
+			System.out.printf("stopped %s (process %d), exit code %d%n", daemon.id(), daemon.process().pid(), code);
+			expect(code == 0, daemon.id() + " stops with exit code 0");
+		}
+	}
+
+	private void expect(boolean holds, String what) {
+		if (!holds) {
+			this.problems.add(what);
+		}
+	}
+
+}
--- /dev/null
+++ b/examples/src/main/java/org/acaciamux/examples/demo/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Demonstration of a small fleet on one machine.
+ */
+package org.acaciamux.examples.demo;
--- a/examples/src/main/java/org/acaciamux/examples/harness/Fleet.java
+++ b/examples/src/main/java/org/acaciamux/examples/harness/Fleet.java
@@ -5,7 +5,10 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import java.util.stream.Stream;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -14,6 +17,8 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
 
+import org.acaciamux.examples.harness.Caller.Answer;
+
 /**
  * A platform and a VM list as stand-ins, and the backend servers, agents and routers that
  * are added, each a process of its own on 127.0.0.1. Not thread-safe.
@@ -30,12 +35,18 @@
 
 	private static final long READY_SECONDS = 60;
 
+	private static final int MAX_RETRIES = 120;
+
+	private static final long RETRY_PAUSE_MS = 250;
+
 	private final ProcessHarness harness;
 
 	private final Caller caller = new Caller();
 
 	private final Path settings;
 
+	private final ObjectNode limits = JSON.createObjectNode();
+
 	private final ManagedProcess platform;
 
 	private final ManagedProcess vmList;
@@ -162,13 +173,20 @@
 	}
 
 	/**
-	 * Switch the platform's outage.
-	 * @param on whether the object API and the VM list refuse every call
+	 * Switch the outage of the object API.
+	 * @param on whether it refuses every call
 	 */
 	public void setOutage(boolean on) {
-		String body = "{\"on\":" + on + "}";
-		this.caller.post(this.platform.port(), "/control/outage", body);
-		this.caller.post(this.vmList.port(), "/control/outage", body);
+		this.caller.post(this.platform.port(), "/control/outage", "{\"on\":" + on + "}");
+	}
+
+	/**
+	 * Set a limit in the settings of the daemons that are started from now on.
+	 * @param name the key under {@code limits}
+	 * @param value the value
+	 */
+	public void setLimit(String name, long value) {
+		this.limits.put(name, value);
 	}
 
 	/**
@@ -186,6 +204,43 @@
 		}
 	}
 
+	/**
+	 * Wait until a router has reached a number of different backend servers of a pool.
+	 * @param router the router
+	 * @param pool the pool
+	 * @param servers the number
+	 */
+	public void awaitPool(Daemon router, String pool, int servers) {
+		Set<String> seen = new HashSet<>();
+		Polling.await(router.id() + " reaches " + servers + " servers of " + pool, READY_SECONDS, () -> {
+			Answer answer = this.caller.send("GET", router.httpPort(), "/pools/" + pool + "/control/state", "",
+					Map.of("Acaciamux-Chat", "probe-" + System.nanoTime()));
+			if (answer.status() == 200) {
+				seen.add(answer.header("Acaciamux-Server"));
+			}
+			return seen.size() >= servers;
+		});
+	}
+
+	/**
+	 * Send a request and repeat it while it is refused with status 503, as a caller does
+	 * that heeds the retry-after. Keyed calls keep their key.
+	 * @param method the method
+	 * @param router the router
+	 * @param path the path
+	 * @param body the body
+	 * @param headers the headers
+	 * @return the first other answer, or the last refusal
+	 */
+	public Answer sendPatiently(String method, Daemon router, String path, String body, Map<String, String> headers) {
+		Answer answer = this.caller.send(method, router.httpPort(), path, body, headers);
+		for (int i = 0; i < MAX_RETRIES && answer.status() == 503; i++) {
+			Polling.pause(RETRY_PAUSE_MS);
+			answer = this.caller.send(method, router.httpPort(), path, body, headers);
+		}
+		return answer;
+	}
+
 	/**
 	 * Write all records of a directory of YAML files to the platform.
 	 * @param directory the directory
@@ -220,10 +275,10 @@
 
 	private void writeRecord(JsonNode record) {
 		String path = "/v1/objects/" + record.path("kind").asText() + "/" + record.path("name").asText();
-		Caller.Answer held = this.caller.get(this.platform.port(), path);
+		Answer held = this.caller.get(this.platform.port(), path);
 		long version = held.json().path("version").asLong();
-		Caller.Answer answer = this.caller.send("PUT", this.platform.port(), path + "?ifVersion=" + version,
-				record.toString(), java.util.Map.of());
+		Answer answer = this.caller.send("PUT", this.platform.port(), path + "?ifVersion=" + version, record.toString(),
+				Map.of());
 		if (answer.status() != 200) {
 			throw new IllegalStateException("the platform refused " + path + ": " + answer);
 		}
@@ -244,6 +299,7 @@
 		putEndpoint(node, "peer");
 		putEndpoint(node, "admin");
 		node.putObject("platform").put("objects", this.platform.hostPort()).put("vms", this.vmList.hostPort());
+		node.set("limits", this.limits.deepCopy());
 		return node;
 	}
 
--- a/examples/src/main/java/org/acaciamux/examples/standin/EngineStandIn.java
+++ b/examples/src/main/java/org/acaciamux/examples/standin/EngineStandIn.java
@@ -54,6 +54,8 @@
 
 	private long cancelled;
 
+	private long crashes;
+
 	private EngineStandIn(StandInOptions options) {
 		this.options = options;
 		this.tokenPauseMs = options.tokenPauseMs;
@@ -212,6 +214,7 @@
 	}
 
 	private void crash() {
+		this.crashes++;
 		if (this.options.restartMs < 0) {
 			Runtime.getRuntime().halt(CRASH_EXIT_CODE);
 		}
@@ -246,6 +249,7 @@
 			.put("highestRunning", this.highestRunning)
 			.put("started", this.started)
 			.put("cancelled", this.cancelled)
+			.put("crashes", this.crashes)
 			.put("cachedChats", this.cache.size());
 		exchange.reply(200, state);
 	}
--- /dev/null
+++ b/examples/src/test/java/org/acaciamux/process/TestFleet.java
@@ -0,0 +1,184 @@
+package org.acaciamux.process;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+import org.acaciamux.examples.harness.Caller.Answer;
+import org.acaciamux.examples.harness.Daemon;
+import org.acaciamux.examples.harness.DaemonSpec;
+import org.acaciamux.examples.harness.Fleet;
+import org.acaciamux.examples.harness.ManagedProcess;
+
+/**
+ * A small kiosk fleet: routers, writers (agents with engines) and tills (agents with
+ * plain services). Not thread-safe.
+ */
+final class TestFleet implements AutoCloseable {
+
+	static final String CHAT_PATH = "/pools/writer/v1/chat/completions";
+
+	static final String CHARGE_PATH = "/pools/ordering/charges";
+
+	private static final String REGION = "tw-north";
+
+	private static final String WRITER_POOL = """
+			apiVersion: acaciamux/v1
+			kind: BackendPool
+			name: writer
+			spec: {model: true, repeatable: true, reusePreference: 0.5}
+			""";
+
+	private static final String ORDERING_POOL = """
+			apiVersion: acaciamux/v1
+			kind: BackendPool
+			name: ordering
+			spec: {model: false, repeatable: false, claimPartitions: 1}
+			""";
+
+	final Fleet fleet = Fleet.start();
+
+	final List<Daemon> routers = new ArrayList<>();
+
+	final List<Daemon> writers = new ArrayList<>();
+
+	final List<ManagedProcess> engines = new ArrayList<>();
+
+	final List<Daemon> tills = new ArrayList<>();
+
+	final List<ManagedProcess> services = new ArrayList<>();
+
+	private TestFleet() {
+	}
+
+	static TestFleet create() {
+		TestFleet created = new TestFleet();
+		created.fleet.writeRecord(WRITER_POOL);
+		created.fleet.writeRecord(ORDERING_POOL);
+		return created;
+	}
+
+	TestFleet withRouters(int count) {
+		for (int i = 0; i < count; i++) {
+			this.routers.add(this.fleet.launch(DaemonSpec.router("router-" + (i + 1), REGION, domain(i))));
+		}
+		return this;
+	}
+
+	TestFleet withWriters(int count, String... engineOptions) {
+		for (int i = 0; i < count; i++) {
+			ManagedProcess engine = this.fleet.startEngine("engine-" + (i + 1), engineOptions);
+			this.engines.add(engine);
+			this.writers.add(this.fleet
+				.launch(DaemonSpec.agent("writer-" + (i + 1), REGION, domain(i), "writer", engine.hostPort())));
+		}
+		return this;
+	}
+
+	TestFleet withTills(int count, long chargeMs) {
+		for (int i = 0; i < count; i++) {
+			ManagedProcess service = this.fleet.startPlainService("service-" + (i + 1), "--charge-ms",
+					Long.toString(chargeMs));
+			this.services.add(service);
+			this.tills.add(this.fleet
+				.launch(DaemonSpec.agent("till-" + (i + 1), REGION, domain(i), "ordering", service.hostPort())));
+		}
+		return this;
+	}
+
+	/**
+	 * Enter all daemons in the VM list and wait until every router reaches every server.
+	 * @return this fleet
+	 */
+	TestFleet ready() {
+		List<Daemon> all = new ArrayList<>(this.routers);
+		all.addAll(this.writers);
+		all.addAll(this.tills);
+		all.forEach(this.fleet::register);
+		all.forEach(this.fleet::awaitReady);
+		for (Daemon router : this.routers) {
+			this.fleet.awaitPool(router, "writer", this.writers.size());
+			this.fleet.awaitPool(router, "ordering", this.tills.size());
+		}
+		return this;
+	}
+
+	Daemon router(int index) {
+		return this.routers.get(index);
+	}
+
+	static String prompt(String chat, int tokens) {
+		return "{\"chat\":\"" + chat + "\",\"prompt\":\"plan the week\",\"maxTokens\":" + tokens + "}";
+	}
+
+	static Map<String, String> chatHeaders(String chat) {
+		return Map.of("Acaciamux-Chat", chat, "Acaciamux-Organisation", "harbour-kiosks");
+	}
+
+	Answer chat(int router, String chat, int tokens) {
+		return this.fleet.sendPatiently("POST", router(router), CHAT_PATH, prompt(chat, tokens), chatHeaders(chat));
+	}
+
+	Answer charge(int router, String key) {
+		return this.fleet.sendPatiently("POST", router(router), CHARGE_PATH, "{\"amount\":7}", chargeHeaders(key));
+	}
+
+	Answer chargeOnce(int router, String key) {
+		return this.fleet.caller()
+			.send("POST", router(router).httpPort(), CHARGE_PATH, "{\"amount\":7}", chargeHeaders(key));
+	}
+
+	CompletableFuture<Answer> chargeLater(int router, String key) {
+		return this.fleet.caller()
+			.sendLater("POST", router(router).httpPort(), CHARGE_PATH, "{\"amount\":7}", chargeHeaders(key));
+	}
+
+	private static Map<String, String> chargeHeaders(String key) {
+		Map<String, String> headers = new HashMap<>();
+		headers.put("Idempotency-Key", key);
+		headers.put("Acaciamux-Organisation", "harbour-kiosks");
+		return headers;
+	}
+
+	/**
+	 * Count the executions of a key in all plain services.
+	 * @param key the key
+	 * @return the number
+	 */
+	int executions(String key) {
+		return this.services.stream()
+			.mapToInt((service) -> state(service).json().path("executions").path(key).asInt())
+			.sum();
+	}
+
+	/**
+	 * Sum up a counter of all engines.
+	 * @param field the counter's field of the control page
+	 * @return the sum
+	 */
+	long sumOfEngines(String field) {
+		return this.engines.stream().mapToLong((engine) -> state(engine).json().path(field).asLong()).sum();
+	}
+
+	Answer state(ManagedProcess standIn) {
+		return this.fleet.caller().get(standIn.port(), "/control/state");
+	}
+
+	Daemon agent(String id) {
+		List<Daemon> agents = new ArrayList<>(this.writers);
+		agents.addAll(this.tills);
+		return agents.stream().filter((agent) -> agent.id().equals(id)).findFirst().orElseThrow();
+	}
+
+	private static String domain(int index) {
+		return REGION + "-" + (char) ('a' + index % 4);
+	}
+
+	@Override
+	public void close() {
+		this.fleet.close();
+	}
+
+}
--- /dev/null
+++ b/examples/src/test/java/org/acaciamux/process/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests with real processes over loopback.
+ */
+package org.acaciamux.process;
