Run router and agent as processes

Cause: the parts compiled but no process used them. Ruled out: one class per role with its own life cycle; drain, admin pages and ports are the same for both. Before: no process.

--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/process/ProcessNode.java
@@ -0,0 +1,156 @@
+package org.acaciamux.internal.process;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+import org.acaciamux.Acaciamux;
+import org.acaciamux.Node;
+import org.acaciamux.internal.event.EventLog;
+import org.acaciamux.internal.transport.admin.AdminPages;
+
+/**
+ * A running process. Invariant: a drain begins at most once. Thread-safe.
+ */
+final class ProcessNode implements Node, AdminPages {
+
+	private static final int DRAIN_POLL_MS = 50;
+
+	private static final int DRAIN_REPORT_MS = 5_000;
+
+	private final ProcessCore core;
+
+	private final RoleRuntime role;
+
+	private final int peerPort;
+
+	private final AtomicBoolean draining = new AtomicBoolean();
+
+	private volatile int adminPort;
+
+	ProcessNode(ProcessCore core, RoleRuntime role, int peerPort) {
+		this.core = core;
+		this.role = role;
+		this.peerPort = peerPort;
+	}
+
+	void adminPort(int port) {
+		this.adminPort = port;
+	}
+
+	@Override
+	public int httpPort() {
+		return this.role.httpPort();
+	}
+
+	@Override
+	public int peerPort() {
+		return this.peerPort;
+	}
+
+	@Override
+	public int adminPort() {
+		return this.adminPort;
+	}
+
+	@Override
+	public Optional<String> notReadyReason() {
+		if (this.draining.get()) {
+			return Optional.of("draining");
+		}
+		if (this.core.members.ownNetworkLost()) {
+			return Optional.of("most agents in more than one failure domain are unreachable; own network is lost");
+		}
+		return this.role.notReadyReason();
+	}
+
+	@Override
+	public String metrics() {
+		return MetricsText.write(this.core.registry);
+	}
+
+	@Override
+	public JsonNode status() {
+		ObjectNode status = JsonNodeFactory.instance.objectNode();
+		status.put("id", this.core.settings.id());
+		status.put("role", this.core.settings.role().text());
+		status.put("version", Acaciamux.VERSION);
+		status.put("failureDomain", this.core.settings.failureDomain());
+		status.put("ready", notReadyReason().isEmpty());
+		notReadyReason().ifPresent((reason) -> status.put("notReadyReason", reason));
+		status.put("draining", this.draining.get());
+		status.put("revision", this.core.records.revision());
+		this.role.waitingFor().forEach(status.withArray("inFlight")::add);
+		return status;
+	}
+
+	@Override
+	public JsonNode dump() {
+		ObjectNode dump = JsonNodeFactory.instance.objectNode();
+		dump.set("process", status());
+		dump.set("members", this.core.members.dump());
+		this.role.dump(dump);
+		return dump;
+	}
+
+	/**
+	 * Start the drain of {@code POST /drain}: the process takes no new work but keeps
+	 * running, so that operators can look at it.
+	 */
+	@Override
+	public void beginDrain() {
+		if (this.draining.compareAndSet(false, true)) {
+			EventLog.log(ProcessEvent.DRAIN_STARTED);
+			this.role.beginDrain();
+		}
+	}
+
+	@Override
+	public boolean drain() {
+		beginDrain();
+		long start = this.core.nowMs();
+		long limit = this.core.settings.limits().drainTimeoutMs();
+		long reported = start;
+		List<String> waiting = this.role.waitingFor();
+		while (!waiting.isEmpty()) {
+			long now = this.core.nowMs();
+			if (limit > 0 && now - start >= limit) {
+				EventLog.log(ProcessEvent.DRAIN_FINISHED,
+						"the timeout of " + limit + " ms passed; given up: " + waiting);
+				return false;
+			}
+			if (now - reported >= DRAIN_REPORT_MS) {
+				reported = now;
+				EventLog.log(ProcessEvent.DRAIN_WAITING, waiting);
+			}
+			if (!pause()) {
+				return false;
+			}
+			waiting = this.role.waitingFor();
+		}
+		EventLog.log(ProcessEvent.DRAIN_FINISHED, "everything in flight has ended");
+		return true;
+	}
+
+	private static boolean pause() {
+		try {
+			Thread.sleep(DRAIN_POLL_MS);
+			return true;
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return false;
+		}
+	}
+
+	@Override
+	public void close() {
+		this.role.close();
+		this.core.close();
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/process/RoleRuntime.java
@@ -0,0 +1,45 @@
+package org.acaciamux.internal.process;
+
+import java.util.List;
+import java.util.Optional;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/**
+ * The part of a process that depends on its role. Implementations are thread-safe.
+ */
+interface RoleRuntime extends AutoCloseable {
+
+	/**
+	 * Return the port for callers.
+	 * @return the port, 0 if the role accepts no callers
+	 */
+	int httpPort();
+
+	/**
+	 * Return why the role cannot take work.
+	 * @return the reason, or empty if it can
+	 */
+	Optional<String> notReadyReason();
+
+	/**
+	 * Take no new work from now on.
+	 */
+	void beginDrain();
+
+	/**
+	 * Return what a drain still waits for.
+	 * @return one entry per item, empty when the drain is complete
+	 */
+	List<String> waitingFor();
+
+	/**
+	 * Add the role's state to a dump.
+	 * @param dump the dump
+	 */
+	void dump(ObjectNode dump);
+
+	@Override
+	void close();
+
+}
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/process/RouterRuntime.java
@@ -0,0 +1,100 @@
+package org.acaciamux.internal.process;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+
+import org.acaciamux.internal.coordination.claim.PartitionOwners;
+import org.acaciamux.internal.coordination.routing.RendezvousChooser;
+import org.acaciamux.internal.coordination.routing.RequestRouter;
+import org.acaciamux.internal.coordination.routing.RouterContext;
+import org.acaciamux.internal.coordination.routing.RouterSettings;
+import org.acaciamux.internal.protocol.wire.Frame.BodyCase;
+import org.acaciamux.internal.transport.http.HttpFront;
+import org.acaciamux.internal.transport.http.HttpLimits;
+import org.acaciamux.settings.Endpoint;
+import org.acaciamux.settings.LimitSettings;
+
+/**
+ * The router role: accepts callers and sends their requests to agents. Thread-safe.
+ */
+final class RouterRuntime implements RoleRuntime {
+
+	private static final int TICK_MS = 50;
+
+	private static final int REQUEST_LINE_BYTES = 8_192;
+
+	private static final int IDLE_CONNECTION_MS = 75_000;
+
+	private final RequestRouter router;
+
+	private final HttpFront front;
+
+	private final BooleanSupplier configured;
+
+	private volatile int httpPort;
+
+	RouterRuntime(ProcessCore core, PartitionOwners owners, BooleanSupplier configured) {
+		RouterContext context = new RouterContext(core.records, core.members, core.members, new RendezvousChooser(),
+				owners, core.peerClient, configured);
+		this.configured = configured;
+		this.router = new RequestRouter(context, RouterSettings.defaults(), core.incarnation, core.clock, core.random,
+				core.registry);
+		this.front = new HttpFront(core.group, limits(core.settings.limits()), this.router);
+		core.dispatcher.add(this.router, BodyCase.HEAD, BodyCase.CHUNK, BodyCase.END, BodyCase.REFUSED,
+				BodyCase.RESOLUTION);
+		core.workers.every(this.router::tick, TICK_MS);
+	}
+
+	private static HttpLimits limits(LimitSettings limits) {
+		return new HttpLimits(REQUEST_LINE_BYTES, limits.headerBytes(), limits.bodyBytes(), limits.requestTimeoutMs(),
+				IDLE_CONNECTION_MS);
+	}
+
+	Either<IOException, InetSocketAddress> bind(Endpoint listen) {
+		return this.front.bind(listen.toSocketAddress()).peek((address) -> this.httpPort = address.getPort());
+	}
+
+	@Override
+	public int httpPort() {
+		return this.httpPort;
+	}
+
+	@Override
+	public Optional<String> notReadyReason() {
+		return this.configured.getAsBoolean() ? Optional.empty() : Optional.of("the configuration is not known yet");
+	}
+
+	@Override
+	public void beginDrain() {
+		this.router.drain();
+		this.front.drain();
+	}
+
+	@Override
+	public List<String> waitingFor() {
+		List<String> waiting = new ArrayList<>(this.router.waitingFor());
+		int connections = this.front.connections();
+		if (connections > 0) {
+			waiting.add(connections + " caller connections");
+		}
+		return waiting;
+	}
+
+	@Override
+	public void dump(ObjectNode dump) {
+		dump.set("router", this.router.dump());
+	}
+
+	@Override
+	public void close() {
+		this.front.close();
+	}
+
+}
--- a/server/src/main/java/org/acaciamux/internal/transport/admin/AdminPages.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/admin/AdminPages.java
@@ -36,6 +36,6 @@
 	/**
 	 * Start to drain; has no effect when the process drains already.
 	 */
-	void drain();
+	void beginDrain();
 
 }
--- a/server/src/main/java/org/acaciamux/internal/transport/admin/AdminServer.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/admin/AdminServer.java
@@ -92,7 +92,7 @@
 		private FullHttpResponse answer(FullHttpRequest request) {
 			String path = new QueryStringDecoder(request.uri()).path();
 			if (request.method().equals(HttpMethod.POST) && path.equals("/drain")) {
-				this.pages.drain();
+				this.pages.beginDrain();
 				return page(HttpResponseStatus.ACCEPTED, JSON, "{\"draining\":true}\n");
 			}
 			if (!request.method().equals(HttpMethod.GET)) {
