--- a/server/src/main/java/org/acaciamux/internal/coordination/routing/AgentTrial.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/routing/AgentTrial.java
@@ -39,7 +39,11 @@
 
 	private long agentIncarnation;
 
-	private long sentAt;
+	/**
+	 * Questions on the current link that the agent has not answered. An answer beyond
+	 * them is the agent's reply to a resume that it cannot fulfil.
+	 */
+	private int questions;
 
 	private boolean started;
 
@@ -55,7 +59,6 @@
 	void submit(PeerLink to, RoutedRequest request, boolean keyed, long remainingMs, int attempt) {
 		this.link = to;
 		this.agentIncarnation = to.peer().incarnation();
-		this.sentAt = this.shared.now();
 		int credit = this.shared.settings().creditWindowBytes();
 		to.send(Frames.submit(this.id, request, keyed, this.plan, remainingMs, attempt, credit));
 		this.shared.table().attach(this.call, to);
@@ -127,10 +130,11 @@
 	}
 
 	void tick() {
-		this.recovery.tick();
-		if (!this.recovery.active()) {
-			this.response.tick();
+		if (this.recovery.active()) {
+			this.recovery.tick();
+			return;
 		}
+		this.response.tick();
 	}
 
 	private void onEnd(End end) {
@@ -162,7 +166,13 @@
 	}
 
 	private void onResolution(Resolution resolution) {
-		if (!this.recovery.asked()) {
+		boolean unasked = this.questions == 0;
+		this.questions = Math.max(0, this.questions - 1);
+		if (unasked && this.response.awaitsResume()) {
+			unresolved("its agent keeps the rest of the response no longer");
+			return;
+		}
+		if (unasked || !this.recovery.asked()) {
 			count(Count.DROPPED_STATE);
 			return;
 		}
@@ -174,26 +184,23 @@
 		}
 		switch (resolution.getState()) {
 			case STATE_QUEUED, STATE_RUNNING, STATE_ENDED -> this.response.resumeNow();
-			case STATE_NOT_FOUND -> notFound();
-			case STATE_REFUSED -> refusedEarlier(resolution.getOutcome());
+			case STATE_NOT_FOUND, STATE_REFUSED -> notRun(resolution.getOutcome());
 			default -> unresolved("its agent does not tell its state");
 		}
 	}
 
-	private void notFound() {
-		if (this.started || this.shared.passed(this.sentAt, this.shared.settings().agentMemoryMs())) {
-			unresolved("its agent does not know it any more");
-			return;
-		}
-		this.call.notArrived();
-	}
-
-	private void refusedEarlier(WireOutcome outcome) {
+	/**
+	 * The agent does not run the request. It proves that with the outcome: it remembers
+	 * the id as refused from now on, so that the request cannot run even if it arrives
+	 * later over the old link.
+	 * @param outcome what the agent can prove
+	 */
+	private void notRun(WireOutcome outcome) {
 		if (this.started || outcome != WireOutcome.OUTCOME_NOT_RUN) {
-			unresolved("its agent refused it without proof that it did not run");
+			unresolved("its agent does not know for certain whether it ran");
 			return;
 		}
-		this.call.notArrived();
+		this.call.provedNotRun();
 	}
 
 	@Override
@@ -209,12 +216,14 @@
 		}
 		leaveLink();
 		this.link = to;
+		this.questions = 0;
 		this.shared.table().attach(this.call, to);
 		return true;
 	}
 
 	@Override
 	public void askState() {
+		this.questions++;
 		send(Frames.resolve(this.id));
 	}
 
--- a/server/src/main/java/org/acaciamux/internal/coordination/routing/SerialTasks.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/routing/CallTasks.java
@@ -11,7 +11,7 @@
  * lock held while a task runs. Invariants: no two tasks overlap, and a task handed over
  * by a running task runs after it. Thread-safe.
  */
-final class SerialTasks {
+final class CallTasks {
 
 	private final RankedLock lock = new RankedLock(LockRank.LEAF);
 
--- a/server/src/main/java/org/acaciamux/internal/coordination/routing/LinkReplacements.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/routing/LinkReplacements.java
@@ -44,7 +44,9 @@
 		});
 		if (known == mine) {
 			EventLog.log(RoutingEvent.LINK_RECOVERY, member.id());
-			this.links.replace(member).whenComplete((result, error) -> replaced(old, mine, result, error));
+			// A closed link is not handed out again, and a newer one may exist already.
+			(old.isOpen() ? this.links.replace(member) : this.links.link(member))
+				.whenComplete((result, error) -> replaced(old, mine, result, error));
 		}
 		return known;
 	}
--- a/server/src/main/java/org/acaciamux/internal/coordination/routing/LoadTrials.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/routing/LoadTrials.java
@@ -4,20 +4,25 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Function;
 
 import org.acaciamux.FailureCode;
+import org.acaciamux.internal.coordination.membership.Member;
 import org.acaciamux.internal.coordination.routing.CandidateChooser.Trial;
 import org.acaciamux.internal.protocol.wire.Refused;
 
 /**
  * Trials of a request that any server of the pool may run: the candidates in order, then
  * once more, marked as last, the one with the lowest load among those that redirected it
- * because of their load. Confined to the tasks of one request.
+ * because of their load. A suspect goes to its designated server instead. Confined to the
+ * tasks of one request.
  */
 final class LoadTrials implements Trials {
 
 	private final List<Trial> plan;
 
+	private final Function<String, Optional<Member>> find;
+
 	private final List<Busy> busy = new ArrayList<>();
 
 	private Trial current;
@@ -26,12 +31,28 @@
 
 	private boolean lastGiven;
 
-	LoadTrials(List<Trial> plan) {
+	private boolean designatedGiven;
+
+	private Optional<Member> designated = Optional.empty();
+
+	/**
+	 * Plan the trials.
+	 * @param plan the candidates in order
+	 * @param find finds an agent that accepts work
+	 */
+	LoadTrials(List<Trial> plan, Function<String, Optional<Member>> find) {
 		this.plan = plan;
+		this.find = find;
 	}
 
 	@Override
 	public Optional<Next> next() {
+		if (this.designatedGiven) {
+			// Only the designated server may run a suspect, so no other one is tried.
+			Optional<Member> target = this.designated;
+			this.designated = Optional.empty();
+			return target.map((member) -> new Next(member, false, true));
+		}
 		if (this.index < this.plan.size()) {
 			this.current = this.plan.get(this.index++);
 			boolean last = this.index == this.plan.size() && this.busy.isEmpty();
@@ -55,6 +76,11 @@
 
 	@Override
 	public void redirected(Refused refused) {
+		if (refused.getFailureCode().equals(FailureCode.REQUEST_SUSPECT.code()) && !this.designatedGiven) {
+			this.designatedGiven = true;
+			this.designated = this.find.apply(refused.getOwner());
+			return;
+		}
 		if (refused.getFailureCode().equals(FailureCode.LOAD_BOUND.code())) {
 			this.busy.add(new Busy(this.current, refused.getLoad(), refused.getQueued()));
 		}
--- a/server/src/main/java/org/acaciamux/internal/coordination/routing/RequestRouter.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/routing/RequestRouter.java
@@ -196,7 +196,7 @@
 	private Trials loadTrials(RoutedRequest request, PoolSpec pool) {
 		List<Member> members = this.context.members().agents(pool.name());
 		String chat = request.chat().orElseGet(this::randomText);
-		return new LoadTrials(this.context.chooser().plan(pool, members, chat, request.affinity()));
+		return new LoadTrials(this.context.chooser().plan(pool, members, chat, request.affinity()), this::findWorking);
 	}
 
 	private Trials ownerTrials(RoutedRequest request, PoolSpec pool) {
--- a/server/src/main/java/org/acaciamux/internal/coordination/routing/ResponseStream.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/routing/ResponseStream.java
@@ -30,6 +30,8 @@
 
 	private boolean resuming;
 
+	private boolean awaitsResume;
+
 	private int resumes;
 
 	private long progressAt;
@@ -56,6 +58,7 @@
 		}
 		this.started = true;
 		this.resuming = false;
+		this.awaitsResume = false;
 		this.progressAt = this.shared.now();
 		this.takenAt = this.shared.now();
 		this.host.started(head);
@@ -72,6 +75,7 @@
 			case NEXT -> {
 				this.progressAt = this.shared.now();
 				this.resuming = false;
+				this.awaitsResume = false;
 				this.resumes = 0;
 				this.host.deliver(chunk.getData());
 			}
@@ -104,6 +108,7 @@
 	 * Ask the agent for everything that was not delivered yet.
 	 */
 	void resumeNow() {
+		this.awaitsResume = true;
 		this.resumedAt = this.shared.now();
 		this.progressAt = this.shared.now();
 		this.shared.metrics().count(Count.RESUMES);
@@ -111,6 +116,14 @@
 		this.host.send(Frames.resume(this.host.requestId(), offset, this.progress.resume()));
 	}
 
+	/**
+	 * Return whether nothing arrived since the agent was asked to continue.
+	 * @return whether the agent's answer is awaited
+	 */
+	boolean awaitsResume() {
+		return this.awaitsResume;
+	}
+
 	void tick() {
 		if (!this.started) {
 			return;
--- a/server/src/main/java/org/acaciamux/internal/coordination/routing/RouterCall.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/routing/RouterCall.java
@@ -19,12 +19,12 @@
 /**
  * The life cycle of one request in a router. Invariants: the sink gets exactly one end; a
  * new trial starts only when the earlier one is proved not to run; {@code not-run} is
- * told only when no trial can run. All work runs serially as {@link SerialTasks}, so the
+ * told only when no trial can run. All work runs serially as {@link CallTasks}, so the
  * request may be used by any thread.
  */
 final class RouterCall implements RoutedCall {
 
-	private final SerialTasks tasks = new SerialTasks();
+	private final CallTasks tasks = new CallTasks();
 
 	private final RouterShared shared;
 
@@ -66,6 +66,13 @@
 
 	private boolean sentBefore;
 
+	/**
+	 * Whether an earlier trial ended without its agent's proof that it did not run.
+	 */
+	private boolean doubt;
+
+	private long retryAfterMs;
+
 	RouterCall(RouterShared shared, RoutedRequest request, PoolSpec pool, boolean keyed, Trials trials,
 			ResponseSink sink, RouteTrace trace) {
 		this.shared = shared;
@@ -75,6 +82,7 @@
 		this.trials = trials;
 		this.sink = sink;
 		this.trace = trace;
+		this.retryAfterMs = shared.settings().retryAfterMs();
 		this.startedAt = shared.now();
 		this.deadlineAt = this.startedAt + RouterShared.nanos(request.deadlineMs());
 	}
@@ -211,7 +219,7 @@
 		state("waits for");
 		this.shared.metrics().count(Count.TRIALS);
 		this.mayRun = true;
-		int attempt = this.sentBefore ? 0 : this.request.attempt();
+		int attempt = this.doubt ? 0 : this.request.attempt();
 		this.sentBefore = true;
 		this.trial = new AgentTrial(this.shared, this, this.next, this.id, this.pool.progressTimeoutMs());
 		this.trial.submit(link, this.request, this.keyed, remaining, attempt);
@@ -222,7 +230,11 @@
 				refused.getLoad(), refused.getLimit(), refused.getQueued());
 		this.mayRun = refused.getOutcome() != WireOutcome.OUTCOME_NOT_RUN;
 		FailureCode code = code(refused.getFailureCode());
+		if (refused.getRetryAfterMs() > 0) {
+			this.retryAfterMs = refused.getRetryAfterMs();
+		}
 		if (goesOn(code, refused)) {
+			this.doubt = this.doubt || this.mayRun;
 			this.trials.redirected(refused);
 			nextTrial();
 			return;
@@ -231,9 +243,12 @@
 	}
 
 	private boolean goesOn(FailureCode code, Refused refused) {
-		if (code == FailureCode.REQUEST_SUSPECT || code == FailureCode.REQUEST_QUARANTINED) {
+		if (code == FailureCode.REQUEST_QUARANTINED) {
 			return false;
 		}
+		if (code == FailureCode.REQUEST_SUSPECT) {
+			return refused.getRedirect() && !this.mayRun && !this.keyed && !refused.getOwner().isEmpty();
+		}
 		if (refused.getRedirect() && (!this.mayRun || code == FailureCode.NOT_OWNER)) {
 			this.shared.metrics().count(Count.REDIRECTS);
 			return true;
@@ -242,11 +257,11 @@
 		return serverOnly && !this.mayRun && !this.keyed && !this.next.last() && retryAllowed();
 	}
 
-	void notArrived() {
+	void provedNotRun() {
 		this.mayRun = false;
 		if (!retryAllowed()) {
-			fail(own(FailureCode.AGENT_UNREACHABLE, "The request was lost on its way to the agent and the retry budget "
-					+ "is used up; send it again after the delay."));
+			fail(own(FailureCode.AGENT_UNREACHABLE, "The request did not reach the agent and the retry budget is used "
+					+ "up; send it again after the delay."));
 			return;
 		}
 		this.trials.notReached(true);
@@ -322,8 +337,8 @@
 	 * @return the failure
 	 */
 	private Failure own(FailureCode code, String detail) {
-		Outcome outcome = this.mayRun ? Outcome.UNKNOWN : this.request.outcomeIfNeverSent();
-		return new Failure(code, outcome, detail, this.shared.settings().retryAfterMs());
+		Outcome outcome = (this.mayRun || this.doubt) ? Outcome.UNKNOWN : this.request.outcomeIfNeverSent();
+		return new Failure(code, outcome, detail, this.retryAfterMs);
 	}
 
 	private void fail(Failure failure) {
--- a/server/src/main/java/org/acaciamux/internal/coordination/routing/RouterSettings.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/routing/RouterSettings.java
@@ -9,8 +9,6 @@
  * @param connectLimitMs longest wait for a link before the next server is tried
  * @param deadlineGraceMs time past the deadline that the agent's own, more exact answer
  * may take
- * @param agentMemoryMs time for which an agent remembers a request after its end; within
- * this time after sending, "not found" proves that the request never arrived
  * @param resolveLimitMs longest time without a working link to the agent before a request
  * is given up
  * @param resolveRetryMs pause between two attempts to reopen a link, to resolve or to
@@ -21,15 +19,14 @@
  * @param retryAfterMs delay that refused callers are told
  */
 public record RouterSettings(int maxInFlight, int creditWindowBytes, long connectLimitMs, long deadlineGraceMs,
-		long agentMemoryMs, long resolveLimitMs, long resolveRetryMs, long progressSlackMs, long callerStallMs,
-		long retryAfterMs) {
+		long resolveLimitMs, long resolveRetryMs, long progressSlackMs, long callerStallMs, long retryAfterMs) {
 
 	/**
 	 * Return the default limits.
 	 * @return the limits
 	 */
 	public static RouterSettings defaults() {
-		return new RouterSettings(20_000, 256 << 10, 2_000, 250, 10_000, 10_000, 500, 1_000, 60_000, 1_000);
+		return new RouterSettings(20_000, 256 << 10, 2_000, 250, 10_000, 500, 1_000, 60_000, 1_000);
 	}
 
 }
--- a/server/src/main/java/org/acaciamux/internal/transport/http/CallerConnection.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/CallerConnection.java
@@ -48,6 +48,8 @@
 
 	private final HttpLimits limits;
 
+	private final BodyBudget bodies;
+
 	private final RequestService service;
 
 	private final BooleanSupplier draining;
@@ -62,12 +64,15 @@
 
 	private ScheduledFuture<?> timer;
 
+	private long buffered;
+
 	private boolean reading;
 
 	private boolean discarding;
 
-	CallerConnection(HttpLimits limits, RequestService service, BooleanSupplier draining) {
+	CallerConnection(HttpLimits limits, BodyBudget bodies, RequestService service, BooleanSupplier draining) {
 		this.limits = limits;
+		this.bodies = bodies;
 		this.service = service;
 		this.draining = draining;
 	}
@@ -98,6 +103,7 @@
 	@Override
 	public void channelInactive(ChannelHandlerContext ctx) {
 		stopTimer();
+		releaseBody();
 		this.waiting.forEach(ReferenceCountUtil::release);
 		this.waiting.clear();
 		this.discarding = true;
@@ -177,6 +183,12 @@
 			refuse(FailureCode.BODY_TOO_LARGE, bodyTooLarge());
 			return;
 		}
+		if (!this.bodies.take(bytes.readableBytes())) {
+			refuse(FailureCode.QUEUE_FULL, "This router holds " + this.limits.maxBufferedBytes()
+					+ " bytes of request bodies already; send the request again after the delay.");
+			return;
+		}
+		this.buffered += bytes.readableBytes();
 		byte[] copy = new byte[bytes.readableBytes()];
 		bytes.readBytes(copy);
 		this.body.write(copy, 0, copy.length);
@@ -198,7 +210,13 @@
 		this.response.started(this.service.route(parsed.get(), this.response));
 	}
 
+	private void releaseBody() {
+		this.bodies.give(this.buffered);
+		this.buffered = 0;
+	}
+
 	private void responded(boolean keepAlive) {
+		releaseBody();
 		this.response = null;
 		this.request = null;
 		if (!keepAlive) {
--- a/server/src/main/java/org/acaciamux/internal/transport/http/HttpFront.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/HttpFront.java
@@ -38,6 +38,8 @@
 
 	private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
 
+	private final BodyBudget bodies;
+
 	private volatile Channel listener;
 
 	private volatile boolean draining;
@@ -51,6 +53,7 @@
 	public HttpFront(EventLoopGroup loops, HttpLimits limits, RequestService service) {
 		this.loops = loops;
 		this.limits = limits;
+		this.bodies = new BodyBudget(limits.maxBufferedBytes());
 		this.service = service;
 	}
 
@@ -122,7 +125,7 @@
 		this.connections.add(channel);
 		HttpDecoderConfig decoder = new HttpDecoderConfig().setMaxInitialLineLength(this.limits.maxRequestLineBytes())
 			.setMaxHeaderSize(this.limits.maxHeaderBytes());
-		CallerConnection connection = new CallerConnection(this.limits, this.service, () -> this.draining);
+		CallerConnection connection = new CallerConnection(this.limits, this.bodies, this.service, () -> this.draining);
 		channel.pipeline().addLast(connection.readActivity(), new HttpServerCodec(decoder), connection);
 	}
 
--- a/server/src/main/java/org/acaciamux/internal/transport/http/RequestParser.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/RequestParser.java
@@ -31,6 +31,8 @@
 
 	private static final long MAX_DEADLINE_MS = 3_600_000;
 
+	private static final long RETRY_AFTER_MS = 1_000;
+
 	private static final int MAX_ATTEMPT = 1_000_000;
 
 	private static final String DEFAULT_ORGANISATION = "default";
@@ -75,7 +77,8 @@
 	static Failure refusal(HttpRequest request, FailureCode code, String detail) {
 		boolean keyed = request.headers().contains(Headers.IDEMPOTENCY_KEY);
 		int attempt = "1".equals(request.headers().get(Headers.ATTEMPT)) ? 1 : 0;
-		return new Failure(code, RoutedRequest.outcomeIfNeverSent(keyed, attempt), detail, 0);
+		long retryAfterMs = (code.httpStatus() == 503) ? RETRY_AFTER_MS : 0;
+		return new Failure(code, RoutedRequest.outcomeIfNeverSent(keyed, attempt), detail, retryAfterMs);
 	}
 
 	private RoutedRequest read(HttpRequest request, ByteString body) throws BadInput {
