--- a/server/src/test/java/org/acaciamux/internal/coordination/routing/FakeSink.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/routing/FakeSink.java
@@ -8,7 +8,7 @@
 /**
  * Keeps what a caller gets.
  */
-final class FakeSink implements ResponseSink {
+class FakeSink implements ResponseSink {
 
 	ResponseHead head;
 
--- a/server/src/test/java/org/acaciamux/internal/coordination/routing/RouterFixture.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/routing/RouterFixture.java
@@ -71,10 +71,13 @@
 	};
 
 	RouterFixture() {
+		this(RouterSettings.defaults());
+	}
+
+	RouterFixture(RouterSettings settings) {
 		RouterContext context = new RouterContext(this, this, this, this,
 				(pool, key) -> Optional.ofNullable(this.owner), this, () -> this.ready);
-		this.router = new RequestRouter(context, RouterSettings.defaults(), INCARNATION, () -> this.now, new Random(7),
-				this.registry);
+		this.router = new RequestRouter(context, settings, INCARNATION, () -> this.now, new Random(7), this.registry);
 	}
 
 	RoutedCall route(RoutedRequest request, FakeSink sink) {
