Wire the whole agent life cycle into the daemon

Cause: the agent gained health checks, drain, suspects and cache handover that no process used. Ruled out: a setting for the kind of backend server; the pool's record already says it, and two sources can differ. Change: AgentRuntime drives AgentService, asks the record whether the server is a model engine, names the designated server of a suspect by rendezvous hash, and sends caches to each chat's next candidate. Conclusion: claims, load exchange and configuration spread remain to be wired.

--- a/server/src/main/java/org/acaciamux/internal/process/AgentRuntime.java
+++ b/server/src/main/java/org/acaciamux/internal/process/AgentRuntime.java
@@ -7,8 +7,14 @@
 
 import org.acaciamux.internal.coordination.admission.AgentIdentity;
 import org.acaciamux.internal.coordination.admission.AgentService;
+import org.acaciamux.internal.coordination.admission.DrainProgress;
+import org.acaciamux.internal.coordination.claim.CallClaims;
+import org.acaciamux.internal.coordination.membership.Member;
 import org.acaciamux.internal.coordination.membership.PoolLoadView;
+import org.acaciamux.internal.coordination.quarantine.SuspectTable;
+import org.acaciamux.internal.coordination.routing.RendezvousChooser;
 import org.acaciamux.internal.protocol.wire.Frame.BodyCase;
+import org.acaciamux.internal.state.record.PoolSpec;
 import org.acaciamux.internal.transport.http.BackendClient;
 import org.acaciamux.internal.transport.http.BackendSettings;
 import org.acaciamux.settings.AgentSettings;
@@ -18,18 +24,48 @@
  */
 final class AgentRuntime implements RoleRuntime {
 
+	private final ProcessCore core;
+
 	private final AgentService service;
 
 	private final BackendClient backend;
 
-	AgentRuntime(ProcessCore core, PoolLoadView loads) {
+	private final RendezvousChooser chooser = new RendezvousChooser();
+
+	private final String pool;
+
+	AgentRuntime(ProcessCore core, PoolLoadView loads, Optional<CallClaims> claims) {
+		this.core = core;
 		AgentSettings settings = core.settings.agent().orElseThrow();
-		AgentIdentity identity = new AgentIdentity(core.settings.id(), settings.pool(), core.incarnation);
+		this.pool = settings.pool();
+		AgentIdentity identity = new AgentIdentity(core.settings.id(), this.pool, core.incarnation);
 		this.backend = new BackendClient(core.group,
-				BackendSettings.defaults(settings.backend().address(), settings.backend().port(), true));
-		this.service = new AgentService(identity, core.records, loads, this.backend, Optional.empty(), core.clock);
+				BackendSettings.defaults(settings.backend().address(), settings.backend().port(), false),
+				this::isModelEngine);
+		SuspectTable suspects = new SuspectTable(core.settings.id(), this::designated);
+		AgentService.Server server = new AgentService.Server(this.backend, this.backend,
+				new ChatTransfers(core, this.chooser));
+		this.service = new AgentService(identity, core.records, loads, server, claims, suspects, core.clock,
+				core.registry);
 		core.dispatcher.add(this.service, BodyCase.SUBMIT, BodyCase.CREDIT, BodyCase.CANCEL, BodyCase.RESUME,
-				BodyCase.RESOLVE);
+				BodyCase.RESOLVE, BodyCase.KV_OFFER);
+		core.workers.every(this.service::tick, AgentService.TICK_MS);
+	}
+
+	AgentService service() {
+		return this.service;
+	}
+
+	private boolean isModelEngine() {
+		return this.core.records.pool(this.pool).map(PoolSpec::model).orElse(false);
+	}
+
+	private Optional<String> designated(long fingerprint) {
+		List<Member> agents = this.core.members.agents(this.pool);
+		return this.chooser.rank(this.pool, agents, Long.toHexString(fingerprint), 1)
+			.stream()
+			.map(Member::id)
+			.findFirst();
 	}
 
 	@Override
@@ -39,20 +75,31 @@
 
 	@Override
 	public Optional<String> notReadyReason() {
-		return Optional.empty();
+		if (this.core.records.pool(this.pool).isEmpty()) {
+			return Optional.of("no record of pool " + this.pool + " is in force");
+		}
+		return this.service.backendDown() ? Optional.of("the backend server is down") : Optional.empty();
 	}
 
 	@Override
 	public void beginDrain() {
+		this.service.drain();
 	}
 
 	@Override
 	public List<String> waitingFor() {
-		return List.of();
+		DrainProgress progress = this.service.drainProgress();
+		boolean idle = progress.running() + progress.queued() + progress.unsent() + progress.transfers() == 0;
+		if (progress.done() || (!progress.draining() && idle)) {
+			return List.of();
+		}
+		return List.of(progress.running() + " running, " + progress.queued() + " queued, " + progress.unsent()
+				+ " unsent, " + progress.transfers() + " cache transfers, oldest " + progress.oldestMs() + " ms");
 	}
 
 	@Override
 	public void dump(ObjectNode dump) {
+		dump.set("agent", this.service.dump());
 	}
 
 	@Override
--- a/server/src/main/java/org/acaciamux/internal/process/NodeStarter.java
+++ b/server/src/main/java/org/acaciamux/internal/process/NodeStarter.java
@@ -46,7 +46,7 @@
 	}
 
 	private static Either<StartFailure, Node> startAgent(ProcessCore core) {
-		AgentRuntime role = new AgentRuntime(core, () -> new PoolLoad(1, 0, 0));
+		AgentRuntime role = new AgentRuntime(core, () -> new PoolLoad(1, 0, 0), Optional.empty());
 		return bindShared(core, role);
 	}
 
--- a/server/src/main/java/org/acaciamux/internal/process/RouterRuntime.java
+++ b/server/src/main/java/org/acaciamux/internal/process/RouterRuntime.java
@@ -32,6 +32,8 @@
 
 	private static final int IDLE_CONNECTION_MS = 75_000;
 
+	private static final long BUFFERED_BYTES = 256L << 20;
+
 	private final RequestRouter router;
 
 	private final HttpFront front;
@@ -53,8 +55,8 @@
 	}
 
 	private static HttpLimits limits(LimitSettings limits) {
-		return new HttpLimits(REQUEST_LINE_BYTES, limits.headerBytes(), limits.bodyBytes(), limits.requestTimeoutMs(),
-				IDLE_CONNECTION_MS);
+		return new HttpLimits(REQUEST_LINE_BYTES, limits.headerBytes(), limits.bodyBytes(), BUFFERED_BYTES,
+				limits.requestTimeoutMs(), IDLE_CONNECTION_MS);
 	}
 
 	Either<IOException, InetSocketAddress> bind(Endpoint listen) {
--- a/server/src/main/java/org/acaciamux/internal/transport/http/BackendClient.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/BackendClient.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.google.protobuf.ByteString;
@@ -30,6 +31,8 @@
 
 	private final BackendConnections connections;
 
+	private final BooleanSupplier model;
+
 	private final String authority;
 
 	/**
@@ -38,8 +41,19 @@
 	 * @param settings the settings
 	 */
 	public BackendClient(EventLoopGroup group, BackendSettings settings) {
+		this(group, settings, settings::model);
+	}
+
+	/**
+	 * Create a client for a server whose kind becomes known only with its pool's record.
+	 * @param group the event loops to run on; not closed by this client
+	 * @param settings the settings; {@link BackendSettings#model()} is not used
+	 * @param model whether the server is a model engine
+	 */
+	public BackendClient(EventLoopGroup group, BackendSettings settings, BooleanSupplier model) {
 		this.group = group;
 		this.settings = settings;
+		this.model = model;
 		this.connections = new BackendConnections(group, settings);
 		this.authority = settings.host() + ":" + settings.port();
 	}
@@ -56,7 +70,7 @@
 		// A model engine is asked to cancel before the connection is closed, so that its
 		// slot is free when the agent counts the request as ended. A plain service only
 		// sees the connection close.
-		if (!this.settings.model()) {
+		if (!this.model.getAsBoolean()) {
 			close.run();
 			return;
 		}
@@ -70,7 +84,7 @@
 
 	@Override
 	public CompletionStage<Optional<ByteString>> exportChat(String chat) {
-		if (!this.settings.model()) {
+		if (!this.model.getAsBoolean()) {
 			return CompletableFuture.completedFuture(Optional.empty());
 		}
 		String body = JsonNodeFactory.instance.objectNode().put("chat", chat).toString();
@@ -80,7 +94,7 @@
 
 	@Override
 	public CompletionStage<Boolean> importChat(ByteString cache) {
-		if (!this.settings.model()) {
+		if (!this.model.getAsBoolean()) {
 			return CompletableFuture.completedFuture(false);
 		}
 		return control("POST", "/v1/kv/import", cache).thenApply(BackendControl.Reply::ok);
