--- a/server/src/main/java/org/acaciamux/internal/transport/http/BackendClient.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/BackendClient.java
@@ -1,21 +1,25 @@
 package org.acaciamux.internal.transport.http;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoopGroup;
 
 import org.acaciamux.internal.coordination.admission.Backend;
+import org.acaciamux.internal.coordination.admission.ChatCache;
 
 /**
  * HTTP client to the backend server beside this agent. Invariants: a request is written
  * at most once, and {@link Backend.Break#NOT_SENT} is reported only if no byte of it was
  * written. Thread-safe.
  */
-public final class BackendClient implements Backend, AutoCloseable {
+public final class BackendClient implements Backend, ChatCache, AutoCloseable {
 
 	private static final int OK = 200;
 
@@ -27,6 +31,8 @@
 
 	private final BackendConnections connections;
 
+	private final BooleanSupplier model;
+
 	private final String authority;
 
 	/**
@@ -35,8 +41,19 @@
 	 * @param settings the settings
 	 */
 	public BackendClient(EventLoopGroup group, BackendSettings settings) {
+		this(group, settings, settings::model);
+	}
+
+	/**
+	 * Create a client for a server whose kind becomes known only with its pool's record.
+	 * @param group the event loops to run on; not closed by this client
+	 * @param settings the settings; {@link BackendSettings#model()} is not used
+	 * @param model whether the server is a model engine
+	 */
+	public BackendClient(EventLoopGroup group, BackendSettings settings, BooleanSupplier model) {
 		this.group = group;
 		this.settings = settings;
+		this.model = model;
 		this.connections = new BackendConnections(group, settings);
 		this.authority = settings.host() + ":" + settings.port();
 	}
@@ -53,7 +70,7 @@
 		// A model engine is asked to cancel before the connection is closed, so that its
 		// slot is free when the agent counts the request as ended. A plain service only
 		// sees the connection close.
-		if (!this.settings.model()) {
+		if (!this.model.getAsBoolean()) {
 			close.run();
 			return;
 		}
@@ -65,6 +82,24 @@
 		return control("GET", "/v1/health", ByteString.EMPTY).thenApply(BackendControl.Reply::health);
 	}
 
+	@Override
+	public CompletionStage<Optional<ByteString>> exportChat(String chat) {
+		if (!this.model.getAsBoolean()) {
+			return CompletableFuture.completedFuture(Optional.empty());
+		}
+		String body = JsonNodeFactory.instance.objectNode().put("chat", chat).toString();
+		return control("POST", "/v1/kv/export", ByteString.copyFromUtf8(body))
+			.thenApply((reply) -> Optional.of(reply.body()).filter((exported) -> reply.ok()));
+	}
+
+	@Override
+	public CompletionStage<Boolean> importChat(ByteString cache) {
+		if (!this.model.getAsBoolean()) {
+			return CompletableFuture.completedFuture(false);
+		}
+		return control("POST", "/v1/kv/import", cache).thenApply(BackendControl.Reply::ok);
+	}
+
 	private CompletableFuture<BackendControl.Reply> control(String method, String path, ByteString body) {
 		BackendControl control = new BackendControl();
 		BackendRequest request = new BackendRequest("control", PRIORITY_OF_CONTROL, false, method, path, List.of(),
