--- /dev/null
+++ b/examples/src/main/java/org/acaciamux/examples/bench/isolation/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * How much a surge of one organisation delays the others.
+ */
+package org.acaciamux.examples.bench.isolation;
