Rename the ordered task queue of links

Cause: the configuration part brings a queue of serial tasks that runs under a ranked lock; two classes of one name and different locking would be confused. Ruled out: one class for both; frame handlers take locks of any rank, so link tasks must hold none. Change: SerialTasks of the peer transport becomes OrderedTasks.

--- a/server/src/main/java/org/acaciamux/internal/state/SerialTasks.java
+++ b/server/src/main/java/org/acaciamux/internal/state/OrderedTasks.java
@@ -5,10 +5,10 @@
 
 /**
  * Runs tasks one at a time and in order on a worker pool. Invariant: at most one task of
- * an instance runs at any time, and a task sees the effects of those before it.
- * Thread-safe.
+ * an instance runs at any time, and a task sees the effects of those before it; tasks
+ * hold no lock of this class, so they may take any ranked lock. Thread-safe.
  */
-public final class SerialTasks {
+public final class OrderedTasks {
 
 	private static final int BATCH = 64;
 
@@ -18,7 +18,7 @@
 
 	private boolean scheduled;
 
-	public SerialTasks(WorkerPool pool) {
+	public OrderedTasks(WorkerPool pool) {
 		this.pool = pool;
 	}
 
--- a/server/src/main/java/org/acaciamux/internal/transport/peer/NettyPeerLink.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/peer/NettyPeerLink.java
@@ -17,7 +17,7 @@
 import org.acaciamux.internal.protocol.wire.Frame;
 import org.acaciamux.internal.protocol.wire.Ping;
 import org.acaciamux.internal.protocol.wire.Pong;
-import org.acaciamux.internal.state.SerialTasks;
+import org.acaciamux.internal.state.OrderedTasks;
 
 /**
  * A link over a Netty channel. Pings and pongs stay inside; all other frames go to the
@@ -38,7 +38,7 @@
 
 	private final PeerIdentity peer;
 
-	private final SerialTasks tasks;
+	private final OrderedTasks tasks;
 
 	private final Heartbeat heartbeat;
 
@@ -56,7 +56,7 @@
 		this.context = context;
 		this.channel = channel;
 		this.peer = peer;
-		this.tasks = new SerialTasks(context.workers);
+		this.tasks = new OrderedTasks(context.workers);
 		this.heartbeat = new Heartbeat(context.clock.nanoTime());
 	}
 
