--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/coordination/configuration/PeerSync.java
@@ -0,0 +1,264 @@
+package org.acaciamux.internal.coordination.configuration;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+
+import com.codahale.metrics.Counter;
+
+import org.acaciamux.internal.coordination.membership.Member;
+import org.acaciamux.internal.event.EventLog;
+import org.acaciamux.internal.protocol.PeerLink;
+import org.acaciamux.internal.protocol.wire.ConfigDigest;
+import org.acaciamux.internal.protocol.wire.ConfigPull;
+import org.acaciamux.internal.protocol.wire.ConfigUpdate;
+import org.acaciamux.internal.protocol.wire.Frame;
+import org.acaciamux.internal.protocol.wire.RecordVersion;
+import org.acaciamux.internal.state.record.HeldRecord;
+import org.acaciamux.internal.state.record.RecordKey;
+import org.acaciamux.internal.state.record.RecordKinds;
+import org.acaciamux.internal.state.record.RecordTable;
+
+/**
+ * Exchanges records with other processes. A digest is always a question and an update
+ * always an answer or a push, so two processes that ask each other cannot bounce frames.
+ * A process that asked within the last few seconds counts as a child and gets changes
+ * pushed. Invariants: this process gives its records only while it is ready; it claims to
+ * be complete up to a revision only when its digest equals the peer's or after a full
+ * listing, so a push that overtakes a lost one leaves no unseen gap. Guarded by the
+ * serial tasks of {@link ConfigurationSync}.
+ */
+final class PeerSync {
+
+	/** Digest intervals after which a child that no longer asks gets no more pushes. */
+	private static final int CHILD_INTERVALS = 4;
+
+	/** Longest pause between two full pulls from a peer that keeps differing. */
+	private static final long MAX_PULL_PAUSE_MS = 60_000;
+
+	private final SyncState state;
+
+	private final Map<String, Child> children = new HashMap<>();
+
+	private final Map<String, Long> askedAtMs = new HashMap<>();
+
+	private final Map<String, Long> failedUntilMs = new HashMap<>();
+
+	private final Map<String, Pull> pulls = new HashMap<>();
+
+	private final List<Change> toPush = new ArrayList<>();
+
+	private final Counter pullCount;
+
+	private BiConsumer<String, ConfigUpdate> onUpdate = (peer, update) -> {
+	};
+
+	PeerSync(SyncState state) {
+		this.state = state;
+		this.pullCount = state.parts().metrics().counter("acaciamux.configuration.pulls");
+	}
+
+	void onUpdate(BiConsumer<String, ConfigUpdate> action) {
+		this.onUpdate = action;
+	}
+
+	/**
+	 * Note records that came into force, to push them to the children.
+	 * @param records the records
+	 * @param source the id of the peer that gave them, empty for the platform
+	 */
+	void changed(Collection<HeldRecord> records, String source) {
+		records.forEach((record) -> this.toPush.add(new Change(record, source)));
+	}
+
+	/**
+	 * Push changes and give up on peers that do not answer.
+	 */
+	void tick() {
+		long now = this.state.nowMs();
+		long keepMs = CHILD_INTERVALS * this.state.settings().digestIntervalMs();
+		this.children.values().removeIf((child) -> now - child.atMs > keepMs || !child.link.isOpen());
+		push();
+		List<String> silent = this.askedAtMs.entrySet()
+			.stream()
+			.filter((asked) -> now - asked.getValue() >= this.state.settings().answerTimeoutMs())
+			.map(Map.Entry::getKey)
+			.toList();
+		silent.forEach((peer) -> failed(peer, "no answer"));
+		this.failedUntilMs.values().removeIf((until) -> now >= until);
+		this.pulls.values().removeIf((pull) -> now - pull.atMs > 2 * MAX_PULL_PAUSE_MS);
+	}
+
+	private void push() {
+		if (this.toPush.isEmpty() || !this.state.ready()) {
+			return;
+		}
+		List<Change> changes = List.copyOf(this.toPush);
+		this.toPush.clear();
+		for (Map.Entry<String, Child> child : this.children.entrySet()) {
+			List<HeldRecord> records = changes.stream()
+				.filter((change) -> !change.source.equals(child.getKey()))
+				.map(Change::record)
+				.toList();
+			if (!records.isEmpty()) {
+				sendUpdates(child.getValue().link, picture(records), false);
+			}
+		}
+	}
+
+	private RecordTable.Picture picture(List<HeldRecord> records) {
+		RecordTable.Picture now = table().picture(-1);
+		return new RecordTable.Picture(now.revision(), now.hash(), records);
+	}
+
+	private void sendUpdates(PeerLink link, RecordTable.Picture picture, boolean full) {
+		RecordFrames.updates(picture, full, this.state.confirmedAgeMs())
+			.forEach((update) -> this.state.send(link, Frame.newBuilder().setConfigUpdate(update).build()));
+	}
+
+	/**
+	 * Ask a peer to compare.
+	 * @param peer the peer
+	 */
+	void ask(Member peer) {
+		RecordTable.Picture picture = table().picture(-1);
+		ConfigDigest digest = ConfigDigest.newBuilder()
+			.setRevision(picture.revision())
+			.setHash(picture.hash())
+			.setFailureDomain(this.state.self().failureDomain())
+			.setConfirmedAgeMs((int) this.state.confirmedAgeMs())
+			.build();
+		this.askedAtMs.putIfAbsent(peer.id(), this.state.nowMs());
+		this.state.send(peer, Frame.newBuilder().setConfigDigest(digest).build(), (failure) -> {
+			this.state.parts().members().unreachable(peer.id());
+			failed(peer.id(), failure.detail());
+		});
+	}
+
+	private void failed(String peer, String why) {
+		if (this.askedAtMs.remove(peer) == null) {
+			return;
+		}
+		long retryMs = this.state.settings().peerRetryMs();
+		this.failedUntilMs.put(peer, this.state.nowMs() + retryMs);
+		EventLog.log(ConfigurationEvent.PARENT_FAILED, peer, why, retryMs);
+	}
+
+	boolean failedLately(String peer) {
+		return this.failedUntilMs.containsKey(peer);
+	}
+
+	/**
+	 * Choose the first of several peers that did not fail lately.
+	 * @param peers the peers, best first
+	 * @return the peer, or empty if all failed
+	 */
+	Optional<Member> firstUsable(List<Member> peers) {
+		return peers.stream().filter((peer) -> !failedLately(peer.id())).findFirst();
+	}
+
+	void digest(PeerLink link, ConfigDigest digest) {
+		String peer = link.peer().id();
+		this.children.put(peer, new Child(link, this.state.nowMs()));
+		if (!this.state.ready()) {
+			return;
+		}
+		RecordTable.Picture own = table().picture(-1);
+		ConfigUpdate.Builder answer = RecordFrames.head(own, this.state.confirmedAgeMs());
+		announcedVms().forEach(answer::addRecords);
+		this.state.send(link, Frame.newBuilder().setConfigUpdate(answer).build());
+		if (digest.getRevision() >= own.revision() && digest.getHash() != own.hash()) {
+			pull(link);
+		}
+	}
+
+	private List<RecordVersion> announcedVms() {
+		return table().heldAfter(0)
+			.stream()
+			.filter((held) -> !held.isStored())
+			.map(RecordFrames::announcement)
+			.toList();
+	}
+
+	void pulled(PeerLink link, ConfigPull pull) {
+		if (!this.state.ready()) {
+			return;
+		}
+		RecordTable.Picture picture = table().picture(pull.getFull() ? 0 : pull.getAfterRevision());
+		sendUpdates(link, picture, pull.getFull());
+	}
+
+	void update(PeerLink link, ConfigUpdate update) {
+		String peer = link.peer().id();
+		this.askedAtMs.remove(peer);
+		this.failedUntilMs.remove(peer);
+		this.state.parts().members().heardFrom(peer, link.peer().incarnation());
+		List<HeldRecord> records = RecordFrames.records(update.getRecordsList());
+		if (update.getFull()) {
+			this.state.applyListing(RecordKinds.WATCHED, records, RecordFrames.keys(update.getRecordsList()),
+					update.getRevision(), peer);
+		}
+		this.state.apply(records, peer);
+		boolean same = table().hash() == update.getHash();
+		boolean missing = update.getRecordsList().stream().anyMatch(this::missing);
+		if (same || (update.getFull() && !missing)) {
+			table().completeThrough(update.getRevision());
+			this.state.confirmed(Integer.toUnsignedLong(update.getConfirmedAgeMs()));
+		}
+		if (same && !missing) {
+			this.pulls.remove(peer);
+		}
+		else if (missing || update.getRevision() >= table().completeRevision()) {
+			pull(link);
+		}
+		this.onUpdate.accept(peer, update);
+	}
+
+	private boolean missing(RecordVersion announced) {
+		RecordKey key = RecordFrames.key(announced);
+		long held = table().held(key).map(HeldRecord::version).orElse(-1L);
+		boolean stored = !RecordKinds.VM_LIST.equals(key.kind());
+		boolean deletedSince = stored && held < 0 && announced.getVersion() <= table().completeRevision();
+		return held < announced.getVersion() && !deletedSince && !announced.getDeleted();
+	}
+
+	// Asks first for newer versions, and for everything if that did not help. A peer that
+	// keeps differing is asked at growing intervals.
+	private void pull(PeerLink link) {
+		String peer = link.peer().id();
+		long now = this.state.nowMs();
+		Pull last = this.pulls.get(peer);
+		if (last != null && now - last.atMs < last.pauseMs) {
+			return;
+		}
+		boolean full = last != null || table().completeRevision() == 0;
+		long pauseMs = (last != null) ? Math.min(last.pauseMs * 2, MAX_PULL_PAUSE_MS)
+				: this.state.settings().answerTimeoutMs();
+		this.pulls.put(peer, new Pull(now, pauseMs));
+		this.pullCount.inc();
+		ConfigPull pull = ConfigPull.newBuilder().setAfterRevision(table().completeRevision()).setFull(full).build();
+		this.state.send(link, Frame.newBuilder().setConfigPull(pull).build());
+	}
+
+	private RecordTable table() {
+		return this.state.parts().records();
+	}
+
+	int children() {
+		return this.children.size();
+	}
+
+	private record Child(PeerLink link, long atMs) {
+	}
+
+	private record Change(HeldRecord record, String source) {
+	}
+
+	private record Pull(long atMs, long pauseMs) {
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/coordination/membership/ControlTraffic.java
@@ -0,0 +1,41 @@
+package org.acaciamux.internal.coordination.membership;
+
+import java.util.Locale;
+
+import com.codahale.metrics.MetricRegistry;
+
+import org.acaciamux.internal.protocol.PeerLink;
+import org.acaciamux.internal.protocol.wire.Frame;
+
+/**
+ * Sends control frames and measures their bytes by kind of message in the meters
+ * {@code acaciamux.<topic>.sentBytes.<kind>}. Thread-safe.
+ */
+public final class ControlTraffic {
+
+	private final MetricRegistry metrics;
+
+	private final String prefix;
+
+	/**
+	 * Create a sender.
+	 * @param metrics takes the meters
+	 * @param topic the topic in the meters' names
+	 */
+	public ControlTraffic(MetricRegistry metrics, String topic) {
+		this.metrics = metrics;
+		this.prefix = "acaciamux." + topic + ".sentBytes.";
+	}
+
+	/**
+	 * Send a frame.
+	 * @param link the link
+	 * @param frame the frame
+	 */
+	public void send(PeerLink link, Frame frame) {
+		String kind = frame.getBodyCase().name().toLowerCase(Locale.ROOT);
+		this.metrics.meter(this.prefix + kind).mark(frame.getSerializedSize());
+		link.send(frame);
+	}
+
+}
--- a/server/src/main/java/org/acaciamux/internal/state/LockRank.java
+++ b/server/src/main/java/org/acaciamux/internal/state/LockRank.java
@@ -6,6 +6,8 @@
  */
 public enum LockRank {
 
+	/** Serial tasks of configuration and membership, which change the tables below. */
+	SERIAL_TASKS,
 	/** Records in force. */
 	RECORD_TABLE,
 	/** Members of pools. */
--- a/server/src/main/java/org/acaciamux/internal/state/record/HeldRecord.java
+++ b/server/src/main/java/org/acaciamux/internal/state/record/HeldRecord.java
@@ -58,17 +58,15 @@
 
 	/**
 	 * Return this record's contribution to the digest of a table: 0 for a tombstone, so
-	 * that tables agree although their tombstones expire at different times. The VM list
-	 * counts by content, because two watchers may have read one content at different
-	 * revisions.
+	 * that tables agree although their tombstones expire at different times, and 0 for
+	 * the VM list, because two watchers may have read one content at different revisions.
 	 * @return the contribution; contributions are added up
 	 */
 	long digest() {
-		if (this.deleted) {
+		if (this.deleted || !isStored()) {
 			return 0;
 		}
-		long last = isStored() ? this.version : textHash(this.value.toString());
-		return mix(mix(textHash(this.key.kind()) + textHash(this.key.name()) * 31) ^ last);
+		return mix(mix(textHash(this.key.kind()) + textHash(this.key.name()) * 31) ^ this.version);
 	}
 
 	private static long textHash(String text) {
--- a/server/src/main/java/org/acaciamux/internal/state/record/RecordTable.java
+++ b/server/src/main/java/org/acaciamux/internal/state/record/RecordTable.java
@@ -76,17 +76,17 @@
 	 * Take over everything that another place holds up to a revision: versions that are
 	 * newer, and the deletion of records of the listed kinds that it does not hold.
 	 * @param kinds tells which kinds the listing covers
-	 * @param records all live records of these kinds, and possibly tombstones
+	 * @param records the versions listed with their values
+	 * @param listed keys of all live records of these kinds, listed with a value or
+	 * without
 	 * @param revision the revision up to which the listing is complete
 	 * @param nowMs the time in milliseconds
 	 * @return the versions that changed here, tombstones included
 	 */
-	public List<HeldRecord> applyListing(Predicate<String> kinds, Collection<HeldRecord> records, long revision,
-			long nowMs) {
+	public List<HeldRecord> applyListing(Predicate<String> kinds, Collection<HeldRecord> records, Set<RecordKey> listed,
+			long revision, long nowMs) {
 		List<HeldRecord> applied = this.lock.get(() -> {
 			List<HeldRecord> all = new ArrayList<>(records);
-			Set<RecordKey> listed = new HashSet<>();
-			records.forEach((record) -> listed.add(record.key()));
 			this.held.values()
 				.stream()
 				.filter((record) -> record.isStored() && !record.deleted() && record.version() <= revision)
--- a/server/src/test/java/org/acaciamux/internal/state/record/RecordTableTests.java
+++ b/server/src/test/java/org/acaciamux/internal/state/record/RecordTableTests.java
@@ -4,6 +4,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -44,7 +45,7 @@
 	@Test
 	public void aRecordMissingFromAListingIsDeletedAndNeverReturns() {
 		this.table.apply(List.of(pool(5, "acaciamux/v1", 3.0)), 0);
-		this.table.applyListing((kind) -> true, List.of(), 7, 0);
+		this.table.applyListing((kind) -> true, List.of(), Set.of(), 7, 0);
 		this.table.completeThrough(7);
 		this.table.expireTombstones(1_000, 1_000);
 		this.table.apply(List.of(pool(5, "acaciamux/v1", 3.0)), 1_000);
