Spread the configuration through the fan-out tree in the daemon

Cause: every process polled the platform once a second, which 2,560 processes cannot do. Ruled out: keeping the poller as a fallback; two sources of records could disagree. Change: ConfigurationSync replaces the poller; readiness waits for it; each part gets its own source of randomness, because the shared one was not thread-safe.

--- a/server/src/main/java/org/acaciamux/internal/process/NodeStarter.java
+++ b/server/src/main/java/org/acaciamux/internal/process/NodeStarter.java
@@ -1,5 +1,6 @@
 package org.acaciamux.internal.process;
 
+import java.util.List;
 import java.util.Optional;
 
 import io.netty.channel.ChannelFuture;
@@ -7,7 +8,11 @@
 
 import org.acaciamux.Acaciamux.StartFailure;
 import org.acaciamux.Node;
+import org.acaciamux.internal.coordination.configuration.ConfigurationParts;
+import org.acaciamux.internal.coordination.configuration.ConfigurationSettings;
+import org.acaciamux.internal.coordination.configuration.ConfigurationSync;
 import org.acaciamux.internal.coordination.membership.PoolLoadView.PoolLoad;
+import org.acaciamux.internal.protocol.wire.Frame.BodyCase;
 import org.acaciamux.internal.transport.admin.AdminServer;
 import org.acaciamux.settings.Endpoint;
 import org.acaciamux.settings.NodeSettings;
@@ -18,7 +23,7 @@
  */
 public final class NodeStarter {
 
-	private static final int POLL_MS = 1_000;
+	private static final int TICK_MS = 100;
 
 	private NodeStarter() {
 	}
@@ -30,32 +35,46 @@
 	 */
 	public static Either<StartFailure, Node> start(NodeSettings settings) {
 		ProcessCore core = new ProcessCore(settings);
-		PlatformPoller poller = new PlatformPoller(core);
-		poller.poll();
-		core.workers.every(poller::poll, POLL_MS);
-		core.workers.every(core.members::tick, POLL_MS / 10);
-		return (settings.role() == Role.ROUTER) ? startRouter(core, poller) : startAgent(core);
+		return bindPeers(core).flatMap((peerPort) -> start(core, peerPort)).peekLeft((failure) -> core.close());
 	}
 
-	private static Either<StartFailure, Node> startRouter(ProcessCore core, PlatformPoller poller) {
-		RouterRuntime role = new RouterRuntime(core, (pool, key) -> Optional.empty(), poller::configured);
-		Endpoint listen = core.settings.listen().orElseThrow();
-		return role.bind(listen)
-			.mapLeft((ex) -> inUse("listen", listen, ex))
-			.flatMap((address) -> bindShared(core, role));
+	private static Either<StartFailure, Integer> bindPeers(ProcessCore core) {
+		ChannelFuture peer = core.peerServer.bind(core.settings.peer().toSocketAddress()).awaitUninterruptibly();
+		if (!peer.isSuccess()) {
+			return Either.left(inUse("peer", core.settings.peer(), peer.cause()));
+		}
+		return Either.right(ProcessCore.portOf(peer));
 	}
 
-	private static Either<StartFailure, Node> startAgent(ProcessCore core) {
-		AgentRuntime role = new AgentRuntime(core, () -> new PoolLoad(1, 0, 0), Optional.empty());
-		return bindShared(core, role);
+	private static Either<StartFailure, Node> start(ProcessCore core, int peerPort) {
+		ConfigurationSync configuration = configuration(core, peerPort);
+		return role(core, configuration).flatMap((role) -> bindAdmin(core, configuration, role, peerPort));
 	}
 
-	private static Either<StartFailure, Node> bindShared(ProcessCore core, RoleRuntime role) {
-		ChannelFuture peer = core.peerServer.bind(core.settings.peer().toSocketAddress()).awaitUninterruptibly();
-		if (!peer.isSuccess()) {
-			return Either.left(inUse("peer", core.settings.peer(), peer.cause()));
+	private static ConfigurationSync configuration(ProcessCore core, int peerPort) {
+		ConfigurationParts parts = new ConfigurationParts(core.records, core.members, core.store, core.vms,
+				core.peerClient, core.clock, core.epochClock, core.newRandom(), core.registry, core.workers::execute);
+		ConfigurationSync sync = new ConfigurationSync(ConfigurationSettings.defaults(core.self(peerPort), List.of()),
+				parts);
+		core.dispatcher.add(sync, BodyCase.CONFIG_DIGEST, BodyCase.CONFIG_PULL, BodyCase.CONFIG_UPDATE,
+				BodyCase.FLEET_REPORT);
+		core.workers.every(sync::tick, TICK_MS);
+		core.workers.every(core.members::tick, TICK_MS);
+		return sync;
+	}
+
+	private static Either<StartFailure, RoleRuntime> role(ProcessCore core, ConfigurationSync configuration) {
+		if (core.settings.role() == Role.AGENT) {
+			return Either.right(new AgentRuntime(core, () -> new PoolLoad(1, 0, 0), Optional.empty()));
 		}
-		ProcessNode node = new ProcessNode(core, role, ProcessCore.portOf(peer));
+		RouterRuntime role = new RouterRuntime(core, (pool, key) -> Optional.empty(), configuration::ready);
+		Endpoint listen = core.settings.listen().orElseThrow();
+		return role.bind(listen).mapLeft((ex) -> inUse("listen", listen, ex)).map((address) -> role);
+	}
+
+	private static Either<StartFailure, Node> bindAdmin(ProcessCore core, ConfigurationSync configuration,
+			RoleRuntime role, int peerPort) {
+		ProcessNode node = new ProcessNode(core, configuration, role, peerPort);
 		AdminServer admin = new AdminServer(core.group, node);
 		ChannelFuture bound = admin.bind(core.settings.admin().toSocketAddress()).awaitUninterruptibly();
 		if (!bound.isSuccess()) {
--- a/server/src/main/java/org/acaciamux/internal/process/ProcessCore.java
+++ b/server/src/main/java/org/acaciamux/internal/process/ProcessCore.java
@@ -16,6 +16,8 @@
 import org.agrona.concurrent.SystemNanoClock;
 
 import org.acaciamux.internal.BrokenInvariant;
+import org.acaciamux.internal.coordination.membership.Member;
+import org.acaciamux.internal.coordination.membership.MemberState;
 import org.acaciamux.internal.coordination.membership.MemberTable;
 import org.acaciamux.internal.coordination.membership.MembershipSettings;
 import org.acaciamux.internal.coordination.platform.CallBudget;
@@ -29,6 +31,7 @@
 import org.acaciamux.internal.transport.http.PlatformHttpClient;
 import org.acaciamux.internal.transport.peer.PeerClient;
 import org.acaciamux.internal.transport.peer.PeerServer;
+import org.acaciamux.settings.AgentSettings;
 import org.acaciamux.settings.Endpoint;
 import org.acaciamux.settings.NodeSettings;
 
@@ -38,6 +41,8 @@
  */
 final class ProcessCore implements AutoCloseable {
 
+	private static final String RANDOM_ALGORITHM = "L64X128MixRandom";
+
 	private static final int EVENT_LOOPS = 2;
 
 	private static final int PLATFORM_CONNECT_TIMEOUT_MS = 1_000;
@@ -54,8 +59,6 @@
 
 	final EpochClock epochClock = SystemEpochClock.INSTANCE;
 
-	final RandomGenerator random = RandomGenerator.getDefault();
-
 	final MetricRegistry registry = new MetricRegistry();
 
 	final EventLoopGroup group = new MultiThreadIoEventLoopGroup(EVENT_LOOPS, NioIoHandler.newFactory());
@@ -99,6 +102,25 @@
 		this.members = new MemberTable(settings.id(), MembershipSettings.defaults(), this.clock, this.registry);
 	}
 
+	/**
+	 * Return a source of randomness for one part, because sources are not thread-safe.
+	 * @return a new source
+	 */
+	RandomGenerator newRandom() {
+		return RandomGenerator.of(RANDOM_ALGORITHM);
+	}
+
+	/**
+	 * Return this process as others see it.
+	 * @param peerPort the bound port for other processes
+	 * @return the member
+	 */
+	Member self(int peerPort) {
+		String pool = this.settings.agent().map(AgentSettings::pool).orElse("");
+		return new Member(this.settings.id(), this.settings.role().text(), this.settings.peer().address(), peerPort,
+				this.settings.region(), this.settings.failureDomain(), pool, MemberState.LIVE, 0);
+	}
+
 	long nowMs() {
 		return TimeUnit.NANOSECONDS.toMillis(this.clock.nanoTime());
 	}
--- a/server/src/main/java/org/acaciamux/internal/process/ProcessNode.java
+++ b/server/src/main/java/org/acaciamux/internal/process/ProcessNode.java
@@ -10,6 +10,7 @@
 
 import org.acaciamux.Acaciamux;
 import org.acaciamux.Node;
+import org.acaciamux.internal.coordination.configuration.ConfigurationSync;
 import org.acaciamux.internal.event.EventLog;
 import org.acaciamux.internal.transport.admin.AdminPages;
 
@@ -26,14 +27,17 @@
 
 	private final RoleRuntime role;
 
+	private final ConfigurationSync configuration;
+
 	private final int peerPort;
 
 	private final AtomicBoolean draining = new AtomicBoolean();
 
 	private volatile int adminPort;
 
-	ProcessNode(ProcessCore core, RoleRuntime role, int peerPort) {
+	ProcessNode(ProcessCore core, ConfigurationSync configuration, RoleRuntime role, int peerPort) {
 		this.core = core;
+		this.configuration = configuration;
 		this.role = role;
 		this.peerPort = peerPort;
 	}
@@ -65,6 +69,9 @@
 		if (this.core.members.ownNetworkLost()) {
 			return Optional.of("most agents in more than one failure domain are unreachable; own network is lost");
 		}
+		if (!this.configuration.ready()) {
+			return Optional.of("the configuration is not known yet");
+		}
 		return this.role.notReadyReason();
 	}
 
@@ -92,6 +99,7 @@
 	public JsonNode dump() {
 		ObjectNode dump = JsonNodeFactory.instance.objectNode();
 		dump.set("process", status());
+		dump.set("configuration", this.configuration.dump());
 		dump.set("members", this.core.members.dump());
 		this.role.dump(dump);
 		return dump;
--- a/server/src/main/java/org/acaciamux/internal/process/RouterRuntime.java
+++ b/server/src/main/java/org/acaciamux/internal/process/RouterRuntime.java
@@ -46,8 +46,8 @@
 		RouterContext context = new RouterContext(core.records, core.members, core.members, new RendezvousChooser(),
 				owners, core.peerClient, configured);
 		this.configured = configured;
-		this.router = new RequestRouter(context, RouterSettings.defaults(), core.incarnation, core.clock, core.random,
-				core.registry);
+		this.router = new RequestRouter(context, RouterSettings.defaults(), core.incarnation, core.clock,
+				core.newRandom(), core.registry);
 		this.front = new HttpFront(core.group, limits(core.settings.limits()), this.router);
 		core.dispatcher.add(this.router, BodyCase.HEAD, BodyCase.CHUNK, BodyCase.END, BodyCase.REFUSED,
 				BodyCase.RESOLUTION);
