Measure the ways to choose a server on one seeded trace

Cause: the order of trial and the meaning of reusePreference need figures.

Change: PlacementBench runs one trace through the unbounded hash, the bounded hash, two random servers, the lighter and the warm one of two candidates, and the real RendezvousChooser at five preferences, with lagging loads, partial tables, lost tokens and replaced servers.

--- /dev/null
+++ b/examples/src/main/java/org/acaciamux/examples/bench/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Benchmarks.
+ */
+package org.acaciamux.examples.bench;
--- /dev/null
+++ b/examples/src/main/java/org/acaciamux/examples/bench/placement/PlacementRun.java
@@ -0,0 +1,347 @@
+package org.acaciamux.examples.bench.placement;
+
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+
+import org.acaciamux.internal.coordination.membership.Member;
+import org.acaciamux.internal.coordination.membership.MemberState;
+import org.acaciamux.internal.state.record.PoolSpec;
+
+/**
+ * Runs the trace through one way. Routers choose with lagging loads; agents admit by the
+ * rule of the design page with the loads that they know of each other; a request that all
+ * its servers redirect is queued at the one that reported the lowest load. Network delay
+ * is left out. Used by one thread.
+ */
+final class PlacementRun {
+
+	private static final int DOMAINS = 4;
+
+	private static final double EXCHANGE_INTERVAL = 0.5;
+
+	private static final int SAMPLE_EVERY = 20;
+
+	private static final int MOVE_SAMPLE = 200;
+
+	private static final int PRELOADED = -1;
+
+	private static final double WARM_UP = 0.25;
+
+	private final BenchSettings settings;
+
+	private final Trace trace;
+
+	private final Way way;
+
+	private final boolean bounded;
+
+	private final PoolSpec pool;
+
+	private final Random random;
+
+	private final BackendModel[] servers;
+
+	private final Map<String, BackendModel> byId = new HashMap<>();
+
+	private final RouterModel[] routers;
+
+	private final String[] lastServer;
+
+	private final double[] queuedAt;
+
+	private final PriorityQueue<Running> running = new PriorityQueue<>();
+
+	private final Figures figures = new Figures();
+
+	private final double viewInterval;
+
+	private final ArrayDeque<int[]> exchanged = new ArrayDeque<>();
+
+	private Member[] view;
+
+	private double nextExchange;
+
+	private int total;
+
+	private int exchangedTotal;
+
+	private int nextId;
+
+	private boolean measuring;
+
+	PlacementRun(BenchSettings settings, Trace trace, int serverCount, Way way, boolean bounded, PoolSpec pool) {
+		this.settings = settings;
+		this.trace = trace;
+		this.way = way;
+		this.bounded = bounded;
+		this.pool = pool;
+		this.random = new Random(settings.seed + 1);
+		this.viewInterval = settings.viewInterval(serverCount);
+		this.servers = new BackendModel[serverCount];
+		this.view = new Member[serverCount];
+		for (int i = 0; i < serverCount; i++) {
+			place(i);
+		}
+		this.routers = new RouterModel[settings.routers(serverCount)];
+		for (int i = 0; i < this.routers.length; i++) {
+			this.routers[i] = new RouterModel(this.view, new Random(settings.seed + 2 + i),
+					this.viewInterval * this.random.nextDouble());
+		}
+		this.lastServer = new String[trace.chatIds.length];
+		this.queuedAt = new double[trace.size()];
+	}
+
+	private void place(int position) {
+		String id = "agent-" + this.nextId++;
+		this.servers[position] = new BackendModel(id, position, this.settings.cacheSize(this.servers.length));
+		this.byId.put(id, this.servers[position]);
+		this.view[position] = new Member(id, Member.AGENT, "127.0.0.1", 7000, "tw-north",
+				"domain-" + position % DOMAINS, this.pool.name(), MemberState.LIVE, 0);
+	}
+
+	Figures run() {
+		int warmUp = (int) (this.trace.size() * WARM_UP);
+		preload();
+		for (int i = 0; i < this.trace.size(); i++) {
+			double now = this.trace.arrival[i];
+			this.measuring = i >= warmUp;
+			endUntil(now);
+			if (i > 0 && i % this.settings.replaceEvery == 0) {
+				replaceOne(now);
+			}
+			submit(i, now);
+			if (this.measuring && i % SAMPLE_EVERY == 0) {
+				sample();
+			}
+		}
+		this.figures.seconds = this.trace.arrival[this.trace.size() - 1] - this.trace.arrival[warmUp];
+		this.figures.viewBytesPerSecond = ControlBytes.poolView(this.view) / this.viewInterval;
+		return this.figures;
+	}
+
+	/**
+	 * Start with servers at the mean load. An empty pool would take many seconds to fill,
+	 * because the limit grows only with the loads that the agents know of each other.
+	 */
+	private void preload() {
+		for (BackendModel server : this.servers) {
+			for (int i = 0; i < this.settings.meanLoad; i++) {
+				double left = -Math.log(1.0 - this.random.nextDouble()) * this.settings.service;
+				this.running.add(new Running(left, PRELOADED, server));
+				server.load++;
+				this.total++;
+			}
+		}
+	}
+
+	private void endUntil(double now) {
+		while (!this.running.isEmpty() && this.running.peek().end <= now) {
+			Running ended = this.running.poll();
+			exchangeUntil(ended.end);
+			end(ended);
+		}
+		exchangeUntil(now);
+	}
+
+	private void end(Running ended) {
+		BackendModel server = ended.server;
+		server.load--;
+		this.total -= server.leaving ? 0 : 1;
+		if (ended.request != PRELOADED) {
+			this.routers[this.trace.router[ended.request]].loadOf(server, server.load);
+		}
+		drainQueue(server, ended.end);
+	}
+
+	private void drainQueue(BackendModel server, double now) {
+		while (!server.queue.isEmpty() && server.load + 1 <= limit(server)) {
+			int request = server.queue.poll();
+			if (this.measuring) {
+				this.figures.waitMs.recordValue((long) (1_000 * (now - this.queuedAt[request])));
+			}
+			start(request, server, now);
+		}
+	}
+
+	private void exchangeUntil(double now) {
+		while (this.nextExchange <= now) {
+			exchange();
+			this.nextExchange += EXCHANGE_INTERVAL;
+		}
+	}
+
+	private void exchange() {
+		int[] loads = new int[this.servers.length];
+		for (int i = 0; i < loads.length; i++) {
+			loads[i] = this.servers[i].load;
+		}
+		this.exchanged.add(loads);
+		if (this.exchanged.size() > 1 + Math.round(this.settings.exchangeLag / EXCHANGE_INTERVAL)) {
+			this.exchanged.poll();
+		}
+		int[] known = this.exchanged.peek();
+		this.exchangedTotal = 0;
+		for (int i = 0; i < known.length; i++) {
+			this.servers[i].exchangedLoad = known[i];
+			this.view[i] = this.view[i].withLoad(known[i]);
+			this.exchangedTotal += known[i];
+		}
+		for (BackendModel server : this.servers) {
+			drainQueue(server, this.nextExchange);
+		}
+	}
+
+	private int limit(BackendModel server) {
+		if (!this.bounded) {
+			return Integer.MAX_VALUE;
+		}
+		int pooled = this.exchangedTotal - server.exchangedLoad + server.load;
+		return limit(pooled);
+	}
+
+	private int limit(int pooled) {
+		return (int) Math.ceil(this.pool.loadBound() * (pooled + 1) / this.servers.length);
+	}
+
+	private void submit(int request, double now) {
+		RouterModel router = this.routers[this.trace.router[request]];
+		while (router.nextView <= now) {
+			router.takeView(this.view);
+			router.nextView += this.viewInterval;
+		}
+		BackendModel lowest = null;
+		for (Member member : plan(router, this.trace.chat[request])) {
+			BackendModel server = this.byId.get(member.id());
+			if (admits(server)) {
+				start(request, server, now);
+				return;
+			}
+			this.figures.redirects += this.measuring ? 1 : 0;
+			if (server.leaving) {
+				router.leaving(server);
+				continue;
+			}
+			router.loadOf(server, server.load);
+			lowest = isLighter(server, lowest) ? server : lowest;
+		}
+		enqueue(request, (lowest != null) ? lowest : this.servers[this.random.nextInt(this.servers.length)], now);
+	}
+
+	private static boolean isLighter(BackendModel server, BackendModel other) {
+		return other == null || server.load + server.queue.size() < other.load + other.queue.size();
+	}
+
+	private List<Member> plan(RouterModel router, int chat) {
+		String token = (this.trace.keepsToken[chat]) ? this.lastServer[chat] : null;
+		return this.way.plan(router, this.pool, this.trace.chatIds[chat], token);
+	}
+
+	private boolean admits(BackendModel server) {
+		if (server.leaving) {
+			return false;
+		}
+		return !this.bounded || server.queue.isEmpty() && server.load + 1 <= limit(server);
+	}
+
+	private void enqueue(int request, BackendModel server, double now) {
+		if (server.queue.size() >= this.pool.queueLimit()) {
+			this.figures.refused += this.measuring ? 1 : 0;
+			this.figures.requests += this.measuring ? 1 : 0;
+			return;
+		}
+		this.figures.queued += this.measuring ? 1 : 0;
+		this.queuedAt[request] = now;
+		server.queue.add(request);
+		drainQueue(server, now);
+	}
+
+	private void start(int request, BackendModel server, double now) {
+		int chat = this.trace.chat[request];
+		int knownLimit = limit(server);
+		boolean hit = server.use(chat);
+		server.load++;
+		this.total += server.leaving ? 0 : 1;
+		this.lastServer[chat] = server.id;
+		RouterModel router = this.routers[this.trace.router[request]];
+		router.loadOf(server, server.load);
+		router.chooser.served(this.pool.name(), this.trace.chatIds[chat], server.id);
+		double duration = this.settings.service * (this.trace.work[request] + (hit ? 0 : this.settings.coldCost));
+		this.running.add(new Running(now + duration, request, server));
+		if (this.measuring) {
+			this.figures.requests++;
+			this.figures.hits += hit ? 1 : 0;
+			this.figures.noteAdmission(server.load, knownLimit, limit(this.total - 1));
+		}
+	}
+
+	private void sample() {
+		int busiest = 0;
+		for (BackendModel server : this.servers) {
+			busiest = Math.max(busiest, server.load);
+		}
+		this.figures.noteSkew(busiest, Math.max(1, this.total) / (double) this.servers.length);
+	}
+
+	private void replaceOne(double now) {
+		String[] before = firstChoices();
+		int position = this.random.nextInt(this.servers.length);
+		BackendModel old = this.servers[position];
+		old.leaving = true;
+		this.total -= old.load;
+		this.exchanged.forEach((loads) -> loads[position] = 0);
+		this.exchangedTotal -= old.exchangedLoad;
+		this.view = this.view.clone();
+		place(position);
+		countMoves(before);
+		while (!old.queue.isEmpty()) {
+			submit(old.queue.poll(), now);
+		}
+	}
+
+	private void countMoves(String[] before) {
+		if (!this.measuring) {
+			return;
+		}
+		String[] after = firstChoices();
+		int moved = 0;
+		for (int i = 0; i < before.length; i++) {
+			moved += before[i].equals(after[i]) ? 0 : 1;
+		}
+		this.figures.movedShare += moved / (double) before.length;
+		this.figures.changes++;
+	}
+
+	private String[] firstChoices() {
+		Member[] idle = new Member[this.view.length];
+		for (int i = 0; i < idle.length; i++) {
+			idle[i] = this.view[i].withLoad(0);
+		}
+		RouterModel router = new RouterModel(idle, this.random, Double.MAX_VALUE);
+		String[] first = new String[MOVE_SAMPLE];
+		for (int i = 0; i < first.length; i++) {
+			first[i] = plan(router, (int) ((long) i * this.lastServer.length / first.length)).get(0).id();
+		}
+		return first;
+	}
+
+	/**
+	 * A request that runs.
+	 *
+	 * @param end when it ends
+	 * @param request its number in the trace, or {@link #PRELOADED}
+	 * @param server the server that runs it
+	 */
+	private record Running(double end, int request, BackendModel server) implements Comparable<Running> {
+
+		@Override
+		public int compareTo(Running other) {
+			return Double.compare(this.end, other.end);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/examples/src/main/java/org/acaciamux/examples/bench/placement/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Benchmarks of the choice of backend servers.
+ */
+package org.acaciamux.examples.bench.placement;
