Return a diverted chat to its first candidate

Cause: with the holder always first, a chat stays wherever an overload diverted it to. The diversions then push out the chats of that server, and each one leaves a copy of a context that displaces another.

Change: the holder gives way to the first candidate unless that one is more loaded by half of what the load bound allows above the mean.

--- a/server/src/main/java/org/acaciamux/internal/coordination/routing/CandidateOrder.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/routing/CandidateOrder.java
@@ -9,9 +9,11 @@
 
 /**
  * Orders the servers of one plan: the holder named by the caller, the server that ran the
- * chat last, the candidates by rank. The first of them gives way to a less loaded
- * candidate when its load is beyond what {@code reusePreference} allows. Used by one
- * thread.
+ * chat last, the candidates by rank. The holder gives way to the first candidate unless
+ * that one is more loaded: a chat that stays wherever an overload diverted it to leaves
+ * copies of its context on many servers, and every copy displaces another chat's context.
+ * The first server gives way to a less loaded candidate when its load is beyond what
+ * {@code reusePreference} allows. Used by one thread.
  */
 final class CandidateOrder {
 
@@ -37,6 +39,10 @@
 
 	List<Trial> trials() {
 		List<Trial> trials = new ArrayList<>(this.ranked.length + 2);
+		int holder = (this.token != NONE) ? this.token : this.last;
+		if (holder == NONE || goesHome(this.index.member(holder).load())) {
+			add(trials, this.ranked[0]);
+		}
 		add(trials, this.token);
 		add(trials, this.last);
 		for (int slot : this.ranked) {
@@ -46,6 +52,18 @@
 		return trials;
 	}
 
+	/**
+	 * Return whether a chat leaves its holder for the first candidate: when the candidate
+	 * is less loaded, or more loaded by less than half of what the load bound allows.
+	 * @param holder the load of the holder
+	 * @return whether the first candidate is tried first
+	 */
+	private boolean goesHome(int holder) {
+		int home = this.index.member(this.ranked[0]).load();
+		double margin = (this.pool.loadBound() - 1.0) / 2;
+		return home >= 0 && home < holder * (1.0 + margin);
+	}
+
 	private void add(List<Trial> trials, int slot) {
 		if (slot == NONE) {
 			return;
--- a/server/src/test/java/org/acaciamux/internal/coordination/routing/RendezvousChooserTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/routing/RendezvousChooserTests.java
@@ -136,6 +136,22 @@
 		assertTrue(plan.get(0).warm() && plan.get(1).warm() && !plan.get(2).warm());
 	}
 
+	@Test
+	public void aDivertedChatReturnsToItsFirstCandidateUnlessThatIsMoreLoaded() {
+		String home = first(servers(SERVERS), "chat");
+		String holder = other(List.of(home), "none");
+		assertEquals(firstOf(home, 8, holder, 8), home);
+		assertEquals(firstOf(home, 9, holder, 8), holder);
+		assertEquals(firstOf(home, -1, holder, 8), holder);
+		assertEquals(firstOf(home, 8, holder, -1), holder);
+	}
+
+	private String firstOf(String home, int homeLoad, String holder, int holderLoad) {
+		List<Member> members = map(servers(SERVERS), (member) -> member
+			.withLoad(member.id().equals(home) ? homeLoad : member.id().equals(holder) ? holderLoad : 8));
+		return this.chooser.plan(pool(1.0), members, "chat", Optional.of(holder)).get(0).member().id();
+	}
+
 	@Test
 	public void hintsThatNameNoMemberAreIgnored() {
 		List<Member> members = servers(SERVERS);
@@ -172,12 +188,16 @@
 	}
 
 	private String firstOfLoadedHolder(double preference, int holderLoad, int otherLoad) {
-		PoolSpec pool = new PoolSpec("assistant", true, true, 1.25, preference, 2, 64, 512, 30_000, 30_000, 16, 900_000,
-				false, "", List.of());
+		String holder = first(servers(SERVERS), "chat");
 		List<Member> members = map(servers(SERVERS),
-				(member) -> member.withLoad(member.id().equals("vm-5") ? holderLoad : otherLoad));
-		String first = this.chooser.plan(pool, members, "chat", Optional.of("vm-5")).get(0).member().id();
-		return first.equals("vm-5") ? "holder" : "lighter";
+				(member) -> member.withLoad(member.id().equals(holder) ? holderLoad : otherLoad));
+		String first = this.chooser.plan(pool(preference), members, "chat", Optional.of(holder)).get(0).member().id();
+		return first.equals(holder) ? "holder" : "lighter";
+	}
+
+	private static PoolSpec pool(double preference) {
+		return new PoolSpec("assistant", true, true, 1.25, preference, 2, 64, 512, 30_000, 30_000, 16, 900_000, false,
+				"", List.of());
 	}
 
 	private String first(List<Member> members, String chat) {
