--- a/server/src/main/java/org/acaciamux/internal/cli/ApplyCommand.java
+++ b/server/src/main/java/org/acaciamux/internal/cli/ApplyCommand.java
@@ -23,7 +23,7 @@
 	private final PlatformOptions platform = new PlatformOptions();
 
 	@Parameter(names = { "-f", "--file" }, required = true,
-			description = "file of YAML documents, - for standard input")
+			description = "file or directory of YAML documents, - for standard input")
 	private String file;
 
 	@Parameter(names = "--if-version", description = "write only if this version is stored, 0 to create only; needs a"
--- a/server/src/main/java/org/acaciamux/internal/cli/CommandLine.java
+++ b/server/src/main/java/org/acaciamux/internal/cli/CommandLine.java
@@ -16,8 +16,6 @@
  */
 public final class CommandLine {
 
-	static final String VERSION = "0.1.0";
-
 	private static final RecordRules RULES = new SchemaRules();
 
 	private static final List<Supplier<Command>> COMMANDS = List.of(() -> new ApplyCommand(RULES), GetCommand::new,
--- a/server/src/main/java/org/acaciamux/internal/cli/DiffCommand.java
+++ b/server/src/main/java/org/acaciamux/internal/cli/DiffCommand.java
@@ -17,7 +17,7 @@
 	private final PlatformOptions platform = new PlatformOptions();
 
 	@Parameter(names = { "-f", "--file" }, required = true,
-			description = "file of YAML documents, - for standard input")
+			description = "file or directory of YAML documents, - for standard input")
 	private String file;
 
 	DiffCommand(RecordRules rules) {
--- a/server/src/main/java/org/acaciamux/internal/cli/FleetHealth.java
+++ b/server/src/main/java/org/acaciamux/internal/cli/FleetHealth.java
@@ -49,7 +49,10 @@
 	}
 
 	private static void judge(FleetView.Domain domain, long nowMs, List<String> reasons) {
-		if (isStale(domain, nowMs)) {
+		if (domain.updatedAtMs() == 0) {
+			reasons.add("failure domain " + domain.name() + ": status has no updatedAtMs, so its age is unknown");
+		}
+		else if (isStale(domain, nowMs)) {
 			reasons.add("failure domain " + domain.name() + ": status is stale, written "
 					+ Durations.text(nowMs - domain.updatedAtMs())
 					+ " ago; its figures below may be wrong, ask its processes with: acaciamux dump --admin HOST:PORT");
--- a/server/src/main/java/org/acaciamux/internal/cli/RecordFile.java
+++ b/server/src/main/java/org/acaciamux/internal/cli/RecordFile.java
@@ -11,6 +11,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Stream;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -18,7 +19,8 @@
 import io.vavr.control.Either;
 
 /**
- * Reads a file of several YAML documents, each a record. Holds no state; thread-safe.
+ * Reads records: a file of YAML documents, or all such files of a directory in the order
+ * of their names. Holds no state; thread-safe.
  */
 final class RecordFile {
 
@@ -28,22 +30,26 @@
 	}
 
 	/**
-	 * Read the records of a file.
-	 * @param file the file, {@code -} for standard input
+	 * Read records.
+	 * @param file the file or directory, {@code -} for standard input
 	 * @param in standard input
 	 * @return the documents, at least one, or why there are none
 	 */
 	static Either<CliFailure, List<JsonNode>> read(String file, InputStream in) {
 		try {
-			String text = STANDARD_INPUT.equals(file) ? new String(in.readAllBytes(), StandardCharsets.UTF_8)
-					: Files.readString(Path.of(file));
-			return documents(file, text);
-		}
-		catch (JsonProcessingException ex) {
-			int line = (ex.getLocation() != null) ? ex.getLocation().getLineNr() : 0;
-			return Either.left(CliFailure.of(CliExitCode.INVALID,
-					file + ": line " + line + ": not valid YAML: " + ex.getOriginalMessage(),
-					"next: correct the line, then check with: acaciamux validate -f " + file));
+			if (STANDARD_INPUT.equals(file)) {
+				return parse(file, new String(in.readAllBytes(), StandardCharsets.UTF_8))
+					.flatMap((documents) -> distinct(file, documents));
+			}
+			List<JsonNode> documents = new ArrayList<>();
+			for (Path path : files(Path.of(file))) {
+				Either<CliFailure, List<JsonNode>> some = parse(path.toString(), Files.readString(path));
+				if (some.isLeft()) {
+					return some;
+				}
+				documents.addAll(some.get());
+			}
+			return distinct(file, documents);
 		}
 		catch (NoSuchFileException ex) {
 			return Either.left(CliFailure.of(CliExitCode.USAGE, file + ": no such file"));
@@ -53,7 +59,16 @@
 		}
 	}
 
-	private static Either<CliFailure, List<JsonNode>> documents(String file, String text) throws IOException {
+	private static List<Path> files(Path path) throws IOException {
+		if (!Files.isDirectory(path)) {
+			return List.of(path);
+		}
+		try (Stream<Path> entries = Files.list(path)) {
+			return entries.filter((entry) -> entry.toString().matches(".*\\.(yaml|yml|json)")).sorted().toList();
+		}
+	}
+
+	private static Either<CliFailure, List<JsonNode>> parse(String file, String text) throws IOException {
 		List<JsonNode> documents = new ArrayList<>();
 		try (MappingIterator<JsonNode> values = Documents.YAML.readerFor(JsonNode.class).readValues(text)) {
 			while (values.hasNextValue()) {
@@ -62,15 +77,21 @@
 					documents.add(document);
 				}
 			}
+			return Either.right(documents);
 		}
-		if (documents.isEmpty()) {
-			return Either.left(CliFailure.of(CliExitCode.INVALID, file + ": has no record",
-					"next: print a complete example with: acaciamux explain BackendPool"));
+		catch (JsonProcessingException ex) {
+			int line = (ex.getLocation() != null) ? ex.getLocation().getLineNr() : 0;
+			return Either.left(CliFailure.of(CliExitCode.INVALID,
+					file + ": line " + line + ": not valid YAML: " + ex.getOriginalMessage(),
+					"next: correct the line, then check with: acaciamux validate -f " + file));
 		}
-		return distinct(file, documents);
 	}
 
 	private static Either<CliFailure, List<JsonNode>> distinct(String file, List<JsonNode> documents) {
+		if (documents.isEmpty()) {
+			return Either.left(CliFailure.of(CliExitCode.INVALID, file + ": has no record",
+					"next: print a complete example with: acaciamux explain BackendPool"));
+		}
 		Set<String> seen = new HashSet<>();
 		for (JsonNode document : documents) {
 			if (document.has("name") && !seen.add(subject(document))) {
--- a/server/src/main/java/org/acaciamux/internal/cli/ValidateCommand.java
+++ b/server/src/main/java/org/acaciamux/internal/cli/ValidateCommand.java
@@ -15,7 +15,7 @@
 	private final RecordRules rules;
 
 	@Parameter(names = { "-f", "--file" }, required = true,
-			description = "file of YAML documents, - for standard input")
+			description = "file or directory of YAML documents, - for standard input")
 	private String file;
 
 	ValidateCommand(RecordRules rules) {
--- a/server/src/main/java/org/acaciamux/internal/cli/VersionCommand.java
+++ b/server/src/main/java/org/acaciamux/internal/cli/VersionCommand.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 
+import org.acaciamux.Acaciamux;
+
 /**
  * Prints the version.
  */
@@ -29,7 +31,7 @@
 
 	@Override
 	public CliExitCode run(Console console) {
-		console.print(List.of("acaciamux " + CommandLine.VERSION));
+		console.print(List.of("acaciamux " + Acaciamux.VERSION));
 		return CliExitCode.OK;
 	}
 
--- a/server/src/test/java/org/acaciamux/internal/cli/CommandLineTests.java
+++ b/server/src/test/java/org/acaciamux/internal/cli/CommandLineTests.java
@@ -67,6 +67,14 @@
 		assertTrue(run.err().contains("line 2"), run.err());
 	}
 
+	@Test
+	public void theExampleRecordsAreValid() {
+		for (String deployment : new String[] { "kiosk", "rota" }) {
+			Run run = Run.of("validate", "-f", "../examples/records/" + deployment);
+			assertEquals(run.code(), CliExitCode.OK, run.err());
+		}
+	}
+
 	@Test
 	public void explainPrintsTheReferencePage() {
 		assertTrue(Run.of("explain", "BackendPool").out().startsWith("# BackendPool"));
