--- a/server/src/main/java/org/acaciamux/internal/state/SerialTasks.java
+++ b/server/src/main/java/org/acaciamux/internal/state/SerialTasks.java
@@ -1,79 +1,87 @@
 package org.acaciamux.internal.state;
 
-import java.util.ArrayDeque;
 import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 
 /**
- * Runs tasks one at a time and in order on a worker pool. Invariant: at most one task of
- * an instance runs at any time, and a task sees the effects of those before it.
- * Thread-safe.
+ * Runs tasks one at a time in the order they were posted, on threads of an executor.
+ * Posting takes no lock, so that it is allowed under any lock. Invariants: tasks run
+ * under the lock of rank {@link LockRank#SERIAL_TASKS}; at most the given number of
+ * droppable tasks waits. Thread-safe.
  */
 public final class SerialTasks {
 
-	private static final int BATCH = 64;
+	private final RankedLock lock = new RankedLock(LockRank.SERIAL_TASKS);
 
-	private final WorkerPool pool;
+	private final Queue<Runnable> waiting = new ConcurrentLinkedQueue<>();
 
-	private final Queue<Runnable> queue = new ArrayDeque<>();
+	private final AtomicInteger size = new AtomicInteger();
 
-	private boolean scheduled;
+	private final Executor executor;
 
-	public SerialTasks(WorkerPool pool) {
-		this.pool = pool;
+	private final int limit;
+
+	/**
+	 * Create an empty queue.
+	 * @param executor runs the tasks; must not run them in the calling thread unless that
+	 * thread holds no ranked lock
+	 * @param limit the number of waiting tasks from which droppable ones are dropped
+	 */
+	public SerialTasks(Executor executor, int limit) {
+		this.executor = executor;
+		this.limit = limit;
 	}
 
 	/**
-	 * Add a task.
+	 * Run a task after those posted before.
 	 * @param task the task
-	 * @return the number of tasks that wait, this one included
 	 */
-	public int add(Runnable task) {
-		int size;
-		synchronized (this.queue) {
-			this.queue.add(task);
-			size = this.queue.size();
-			if (this.scheduled) {
-				return size;
-			}
-			this.scheduled = true;
+	public void post(Runnable task) {
+		this.waiting.add(task);
+		if (this.size.getAndIncrement() == 0) {
+			this.executor.execute(this::drain);
 		}
-		this.pool.execute(this::drain);
-		return size;
 	}
 
 	/**
-	 * Return the number of tasks that wait.
-	 * @return the number
+	 * Run a task after those posted before, unless too many wait.
+	 * @param task the task
+	 * @return whether the task was taken
 	 */
-	public int size() {
-		synchronized (this.queue) {
-			return this.queue.size();
+	public boolean offer(Runnable task) {
+		if (this.size.get() >= this.limit) {
+			return false;
 		}
+		post(task);
+		return true;
+	}
+
+	/**
+	 * Compute a value between tasks.
+	 * @param <T> the type of the value
+	 * @param supplier computes the value
+	 * @return the value
+	 */
+	public <T> T get(Supplier<T> supplier) {
+		return this.lock.get(supplier);
 	}
 
 	private void drain() {
-		try {
-			for (int i = 0; i < BATCH; i++) {
-				Runnable task = poll();
-				if (task == null) {
-					return;
+		do {
+			try {
+				this.lock.run(this.waiting.remove());
+			}
+			catch (RuntimeException | Error ex) {
+				if (this.size.decrementAndGet() > 0) {
+					this.executor.execute(this::drain);
 				}
-				task.run();
+				throw ex;
 			}
 		}
-		catch (RuntimeException | Error ex) {
-			this.pool.execute(this::drain);
-			throw ex;
-		}
-		this.pool.execute(this::drain);
-	}
-
-	private Runnable poll() {
-		synchronized (this.queue) {
-			Runnable task = this.queue.poll();
-			this.scheduled = task != null;
-			return task;
-		}
+		while (this.size.decrementAndGet() > 0);
 	}
 
 }
