--- /dev/null
+++ b/server/src/test/java/org/acaciamux/internal/coordination/claim/ClaimLedgerRandomTests.java
@@ -0,0 +1,33 @@
+package org.acaciamux.internal.coordination.claim;
+
+import java.util.stream.LongStream;
+
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * Guards against second runs and wrong {@code not-run} under combined faults. A seed is
+ * run again with {@code -Dacaciamux.seed=N}.
+ */
+public class ClaimLedgerRandomTests {
+
+	private static final int SEEDS = 400;
+
+	private static final int STEPS = 4_000;
+
+	@Test
+	public void noKeyRunsTwiceOrAfterNotRunUnderCombinedFaults() {
+		long given = Long.getLong("acaciamux.seed", 0);
+		LongStream seeds = (given != 0) ? LongStream.of(given) : LongStream.rangeClosed(1, SEEDS);
+		int executed = 0;
+		for (long seed : seeds.toArray()) {
+			ClaimChecker checker = new ClaimWorld(seed).run(STEPS);
+			assertEquals(String.join("; ", checker.violations()), "", "seed " + seed + ", " + checker.summary());
+			executed += checker.executed();
+		}
+		assertTrue(executed > 0, "the faults must leave some calls to run");
+	}
+
+}
