Fit the agent to the claim ledger and to full links

Cause: the ledger takes a call that was claimed but not sent as refused for good, so telling the router to try another server only earned key-refused; a call of another owner did not say who owns it; and a link that was full was served again only by the next tick. Change: a claimed call that could not be sent is refused without a redirect; not-owner names the owner from the records in force; PeerLink has onWritable, with a default that does nothing, and the agent sends when it is called.

--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentService.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentService.java
@@ -224,6 +224,7 @@
 	private void watch(PeerLink link) {
 		if (this.links.add(link)) {
 			link.onClose((reason) -> closed(link));
+			link.onWritable(() -> writable(link));
 		}
 	}
 
@@ -236,12 +237,7 @@
 		}));
 	}
 
-	/**
-	 * Send what a link held back. To be called when the link becomes writable again;
-	 * without it, {@link #tick} sends.
-	 * @param link the link
-	 */
-	public void writable(PeerLink link) {
+	private void writable(PeerLink link) {
 		this.core.act((effects) -> this.core.table().of(link).forEach((request) -> {
 			request.stream().pump();
 			request.regulate();
--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/KeyedCalls.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/KeyedCalls.java
@@ -11,6 +11,8 @@
 import org.acaciamux.Outcome;
 import org.acaciamux.internal.coordination.claim.CallClaims;
 import org.acaciamux.internal.coordination.claim.CallDigest;
+import org.acaciamux.internal.coordination.claim.PartitionOwners;
+import org.acaciamux.internal.coordination.claim.RecordPartitionOwners;
 import org.acaciamux.internal.coordination.claim.StoredAnswer;
 import org.acaciamux.internal.protocol.wire.Header;
 import org.acaciamux.internal.protocol.wire.Submit;
@@ -32,9 +34,12 @@
 
 	private final Optional<CallClaims> claims;
 
+	private final PartitionOwners owners;
+
 	KeyedCalls(AgentCore core, Optional<CallClaims> claims) {
 		this.core = core;
 		this.claims = claims;
+		this.owners = new RecordPartitionOwners(core.records());
 	}
 
 	static CallClaims.KeyedCall call(AgentRequest request) {
@@ -90,6 +95,21 @@
 				.act((later) -> this.core.refuse(request, new Refusal(failure, refusal.redirect(), "")))));
 	}
 
+	/**
+	 * Turn a refusal of the claims into what the router is told. A call of another owner
+	 * is redirected there.
+	 * @param request the request
+	 * @param failure why the claims refuse it
+	 * @return the refusal
+	 */
+	Refusal refusal(AgentRequest request, Failure failure) {
+		if (failure.code() != FailureCode.NOT_OWNER) {
+			return Refusal.refuse(failure);
+		}
+		String owner = this.owners.owner(this.core.pool().spec(), request.submit().getIdempotencyKey()).orElse("");
+		return Refusal.redirectTo(owner.equals(this.core.identity().id()) ? "" : owner, failure);
+	}
+
 	/**
 	 * Report how a call ended that was allowed to run. Not under the lock.
 	 * @param request the request
--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/RequestRunner.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/RequestRunner.java
@@ -74,8 +74,7 @@
 			attach(request, attach);
 		}
 		else if (decision instanceof CallClaims.Decision.Refuse refuse) {
-			boolean redirect = refuse.failure().code() == FailureCode.NOT_OWNER;
-			drop(request, new Refusal(refuse.failure(), redirect, ""));
+			drop(request, this.keyed.refusal(request, refuse.failure()));
 		}
 	}
 
@@ -240,8 +239,15 @@
 
 		private void notSent(String detail) {
 			RequestRunner.this.monitor.refused(this.request);
-			Failure failure = Failure.notRun(FailureCode.BACKEND_DOWN, detail, DOWN_RETRY_MS);
-			drop(this.request, Refusal.redirect(failure).provedFor(this.request));
+			if (this.request.keyed()) {
+				// The claim now says that the key never runs, so no other server can take
+				// it.
+				Failure failure = Failure.notRun(FailureCode.BACKEND_DOWN, detail + "; send it with a new key",
+						DOWN_RETRY_MS);
+				drop(this.request, Refusal.refuse(failure).provedFor(this.request));
+				return;
+			}
+			drop(this.request, Refusal.redirect(Failure.notRun(FailureCode.BACKEND_DOWN, detail, DOWN_RETRY_MS)));
 		}
 
 		private void brokenOff(String detail) {
--- a/server/src/main/java/org/acaciamux/internal/protocol/PeerLink.java
+++ b/server/src/main/java/org/acaciamux/internal/protocol/PeerLink.java
@@ -30,6 +30,15 @@
 	 */
 	boolean isWritable();
 
+	/**
+	 * Call an action each time the outgoing buffer has drained after it was full. Links
+	 * that do not support this never call it; senders then look at {@link #isWritable}
+	 * periodically.
+	 * @param action the action; must not block
+	 */
+	default void onWritable(Runnable action) {
+	}
+
 	/**
 	 * Return whether frames can still be sent.
 	 * @return whether the link is open
--- a/server/src/test/java/org/acaciamux/internal/coordination/admission/AgentServiceTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/admission/AgentServiceTests.java
@@ -74,7 +74,7 @@
 		fixture.backend.last().answer(this.large);
 		assertEquals(fixture.link.body(id), "");
 		fixture.link.writable = true;
-		fixture.agent.writable(fixture.link);
+		fixture.link.onWritable.run();
 		assertEquals(fixture.link.body(id), this.large);
 	}
 
--- a/server/src/test/java/org/acaciamux/internal/coordination/admission/FakeLink.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/admission/FakeLink.java
@@ -22,6 +22,9 @@
 
 	private final List<Consumer<String>> onClose = new ArrayList<>();
 
+	Runnable onWritable = () -> {
+	};
+
 	boolean open = true;
 
 	boolean writable = true;
@@ -43,6 +46,11 @@
 		return this.writable;
 	}
 
+	@Override
+	public void onWritable(Runnable action) {
+		this.onWritable = action;
+	}
+
 	@Override
 	public boolean isOpen() {
 		return this.open;
--- a/server/src/test/java/org/acaciamux/internal/coordination/admission/KeyedCallTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/admission/KeyedCallTests.java
@@ -164,6 +164,17 @@
 		assertEquals(fixture.claims.log, List.of("claim k", "failed k unknown"));
 	}
 
+	@Test
+	public void aClaimedCallThatCouldNotBeSentIsNotTriedElsewhere() {
+		AgentFixture fixture = new AgentFixture();
+		fixture.backend.refusing = true;
+		RequestId id = fixture.submitKeyed("k");
+		assertEquals(fixture.claims.log, List.of("claim k", "failed k not-run"));
+		Refused refused = fixture.link.refused(id).orElseThrow();
+		assertFalse(refused.getRedirect());
+		assertEquals(refused.getOutcome(), WireOutcome.OUTCOME_NOT_RUN);
+	}
+
 	@Test
 	public void aCallOfAnotherOwnerIsRedirected() {
 		AgentFixture fixture = new AgentFixture();
