Look only at the queue for work whose router is gone

Change: it goes through the queue only. Two tests are added: queued work whose router is gone never runs, and a response that its caller never reads is given up at the deadline, so that a drain ends.

--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentSweep.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentSweep.java
@@ -55,9 +55,7 @@
 	}
 
 	private void dropDetachedQueued() {
-		List<AgentRequest> dropped = this.core.table()
-			.matching((request) -> request.state() == AgentRequest.State.QUEUED && isAbandoned(request));
-		for (AgentRequest request : dropped) {
+		for (AgentRequest request : this.core.admission().queue().matching(this::isAbandoned)) {
 			this.core.admission().remove(request);
 			this.core.refuse(request, Refusal.cancelled().provedFor(request));
 		}
--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/FairQueue.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/FairQueue.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.acaciamux.internal.state.record.PrioritySpec;
 
@@ -120,6 +121,15 @@
 		return this.byArrival.iterator().next();
 	}
 
+	/**
+	 * Find queued work.
+	 * @param filter selects the work
+	 * @return the selected work in order of arrival
+	 */
+	public List<T> matching(Predicate<T> filter) {
+		return this.byArrival.stream().filter(filter).toList();
+	}
+
 	/**
 	 * Remove everything.
 	 * @return the removed work in order of arrival
--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/RequestTable.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/RequestTable.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Predicate;
 
 import org.acaciamux.internal.protocol.PeerLink;
 import org.acaciamux.internal.protocol.wire.RequestId;
@@ -80,12 +79,8 @@
 			.toList();
 	}
 
-	List<AgentRequest> matching(Predicate<AgentRequest> filter) {
-		return this.requests.values().stream().filter(filter).toList();
-	}
-
 	List<AgentRequest> of(PeerLink link) {
-		return matching((request) -> request.stream().link() == link);
+		return this.requests.values().stream().filter((request) -> request.stream().link() == link).toList();
 	}
 
 	/**
--- a/server/src/test/java/org/acaciamux/internal/coordination/admission/AgentServiceTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/admission/AgentServiceTests.java
@@ -150,6 +150,37 @@
 		assertEquals(fixture.agent.load(), 0);
 	}
 
+	@Test
+	public void queuedWorkWhoseRouterIsGoneDoesNotRun() {
+		AgentFixture fixture = new AgentFixture();
+		fixture.pool = one(fixture);
+		fixture.submit();
+		FakeLink lost = new FakeLink();
+		RequestId waiting = fixture.submit(lost, (submit) -> submit);
+		lost.close("test");
+		fixture.pass(4_000);
+		fixture.backend.last().data("progress");
+		fixture.pass(4_000);
+		fixture.backend.last().data("progress");
+		fixture.pass(2_000);
+		fixture.backend.last().end();
+		fixture.pass(50);
+		assertEquals(fixture.backend.runs.size(), 1);
+		assertEquals(fixture.resolve(waiting).getOutcome(), WireOutcome.OUTCOME_NOT_RUN);
+	}
+
+	@Test
+	public void aResponseThatItsCallerNeverReadsIsGivenUpAtTheDeadline() {
+		AgentFixture fixture = new AgentFixture();
+		RequestId id = fixture.submit((submit) -> submit.setInitialCredit(2).setDeadlineMs(1_000));
+		fixture.backend.last().answer("unread");
+		fixture.agent.drain();
+		assertFalse(fixture.agent.drainProgress().done());
+		fixture.pass(1_000);
+		assertEquals(fixture.link.end(id).orElseThrow().getFailureCode(), "deadline-exceeded");
+		assertTrue(fixture.agent.drainProgress().done());
+	}
+
 	@Test
 	public void aRequestThatArrivesAfterItWasReportedAsUnknownNeverRuns() {
 		AgentFixture fixture = new AgentFixture();
