Test crash suspects at the agent and with small pools

SuspectGateTests covers what an agent answers: the designated server, the last healthy one, no waiting in the queue, twins that were queued, clearing, quarantine.

--- /dev/null
+++ b/server/src/test/java/org/acaciamux/internal/coordination/admission/SuspectGateTests.java
@@ -0,0 +1,97 @@
+package org.acaciamux.internal.coordination.admission;
+
+import java.util.Optional;
+
+import com.google.protobuf.ByteString;
+import org.testng.annotations.Test;
+
+import org.acaciamux.internal.coordination.membership.PoolLoadView.PoolLoad;
+import org.acaciamux.internal.protocol.wire.Refused;
+import org.acaciamux.internal.protocol.wire.RequestId;
+import org.acaciamux.internal.protocol.wire.WireOutcome;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * What an agent does with requests that were in flight in a crash.
+ */
+public class SuspectGateTests {
+
+	private static AgentFixture crashed(AgentFixture fixture) {
+		submit(fixture, "suspect");
+		fixture.backend.crash("two");
+		fixture.pass(50);
+		return fixture;
+	}
+
+	private static RequestId submit(AgentFixture fixture, String body) {
+		return fixture.submit((submit) -> submit.setBody(ByteString.copyFromUtf8(body)));
+	}
+
+	@Test
+	public void aSuspectDoesNotRunOnTheLastHealthyServer() {
+		AgentFixture fixture = crashed(new AgentFixture());
+		fixture.load = new PoolLoad(1, 0, 0);
+		Refused refused = fixture.link.refused(submit(fixture, "suspect")).orElseThrow();
+		assertEquals(refused.getFailureCode(), "request-suspect");
+		assertEquals(refused.getOutcome(), WireOutcome.OUTCOME_NOT_RUN);
+		assertTrue(refused.getRetryAfterMs() > 0);
+		submit(fixture, "innocent");
+		assertEquals(fixture.backend.last().body(), "innocent");
+	}
+
+	@Test
+	public void aSuspectIsSentToItsDesignatedServer() {
+		AgentFixture fixture = crashed(new AgentFixture("agent", (fingerprint) -> Optional.of("designated")));
+		Refused refused = fixture.link.refused(submit(fixture, "suspect")).orElseThrow();
+		assertTrue(refused.getRedirect());
+		assertEquals(refused.getOwner(), "designated");
+	}
+
+	@Test
+	public void aSuspectThatCannotRunNowIsRefusedAtOnceInsteadOfQueued() {
+		AgentFixture fixture = crashed(new AgentFixture());
+		fixture.load = new PoolLoad(4, 0, 3);
+		submit(fixture, "innocent");
+		Refused refused = fixture.link.refused(submit(fixture, "suspect")).orElseThrow();
+		assertEquals(refused.getFailureCode(), "request-suspect");
+		assertEquals(fixture.agent.queued(), 0);
+	}
+
+	@Test
+	public void aQueuedRequestWhoseTwinCrashedTheServerDoesNotRunBesideAnotherSuspect() {
+		AgentFixture fixture = new AgentFixture();
+		fixture.load = new PoolLoad(4, 2, 3);
+		submit(fixture, "suspect");
+		submit(fixture, "other suspect");
+		submit(fixture, "suspect");
+		RequestId last = submit(fixture, "other suspect");
+		assertEquals(fixture.agent.queued(), 2);
+		fixture.backend.crash("two");
+		fixture.pass(50);
+		assertEquals(fixture.backend.running().size(), 1);
+		assertEquals(fixture.link.refused(last).orElseThrow().getFailureCode(), "request-suspect");
+	}
+
+	@Test
+	public void aSuspectThatCompletesIsClearedAndRunsFreelyAgain() {
+		AgentFixture fixture = crashed(new AgentFixture());
+		submit(fixture, "suspect");
+		fixture.backend.last().answer("done");
+		fixture.load = new PoolLoad(1, 0, 0);
+		submit(fixture, "suspect");
+		assertEquals(fixture.backend.running().size(), 1);
+	}
+
+	@Test
+	public void aSecondCrashAloneQuarantinesTheRequest() {
+		AgentFixture fixture = crashed(new AgentFixture());
+		submit(fixture, "suspect");
+		fixture.backend.crash("three");
+		fixture.pass(50);
+		Refused refused = fixture.link.refused(submit(fixture, "suspect")).orElseThrow();
+		assertEquals(refused.getFailureCode(), "request-quarantined");
+	}
+
+}
