Let a crash suspect wait in the queue with its place reserved

Cause: a suspect was refused unless it could run at once. On a server that is busy without pause it never could, so an innocent request that was in flight in a crash would be refused until its entry expired after 10 minutes. Ruled out: letting all suspects queue; they would be refused late, when their turn comes while another suspect runs. Change: the one suspect that may run here takes the place for suspects when it arrives, waits in the fair queue with it, and is checked again directly before it is sent. Other suspects are refused at once as before.

--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/AdmissionControl.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/AdmissionControl.java
@@ -62,7 +62,7 @@
 		if (this.gate == Gate.CLOSED) {
 			return redirect(FailureCode.BACKEND_DOWN, "The backend server accepts no connections", nowMs);
 		}
-		if (admitsNow(pool, others)) {
+		if (this.queue.size() == 0 && hasRoom(pool, others)) {
 			this.load++;
 			return Verdict.ADMITTED;
 		}
@@ -76,16 +76,6 @@
 		return enqueue(work, pool, nowMs);
 	}
 
-	/**
-	 * Return whether an offer would be admitted at once.
-	 * @param pool the pool's settings
-	 * @param others the load of the other members
-	 * @return whether nothing is queued and the load bound lets one more request run
-	 */
-	public boolean admitsNow(PoolSpec pool, PoolLoad others) {
-		return !this.draining && this.queue.size() == 0 && hasRoom(pool, others);
-	}
-
 	private boolean hasRoom(PoolSpec pool, PoolLoad others) {
 		return this.gate == Gate.OPEN && this.load < limit(pool, others, this.load);
 	}
--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentCore.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentCore.java
@@ -56,6 +56,11 @@
 	private Consumer<AgentRequest> launcher = (request) -> {
 	};
 
+	private final List<AgentRequest> refusedSuspects = new ArrayList<>();
+
+	private Consumer<AgentRequest> leaver = (request) -> {
+	};
+
 	private volatile int limit = 1;
 
 	AgentCore(AgentIdentity identity, RecordView records, PoolLoadView loads, NanoClock clock, AgentMetrics metrics) {
@@ -74,6 +79,10 @@
 		this.launcher = launcher;
 	}
 
+	void leaver(Consumer<AgentRequest> leaver) {
+		this.leaver = leaver;
+	}
+
 	AgentIdentity identity() {
 		return this.identity;
 	}
@@ -123,7 +132,11 @@
 	 */
 	void act(Consumer<List<Runnable>> step) {
 		List<Runnable> effects = new ArrayList<>();
-		this.lock.run(() -> step.accept(effects));
+		this.lock.run(() -> {
+			step.accept(effects);
+			this.refusedSuspects.forEach((request) -> effects.add(() -> this.leaver.accept(request)));
+			this.refusedSuspects.clear();
+		});
 		effects.forEach(Runnable::run);
 	}
 
@@ -205,6 +218,9 @@
 		}
 		Failure failure = refusal.failure();
 		request.advance(AgentRequest.State.REFUSED);
+		if (request.isolated()) {
+			this.refusedSuspects.add(request);
+		}
 		step(request, "refused: " + failure.code().code() + (refusal.redirect() ? ", redirected" : ""));
 		this.metrics.count((refusal.redirect() ? "redirected." : "refused.") + failure.code().code());
 		this.table.refused(request, Frames.wire(failure.outcome()), nowMs());
--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentService.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentService.java
@@ -75,6 +75,7 @@
 		RequestRunner runner = new RequestRunner(this.core, server.backend(), this.keyed, this.gate, this.monitor,
 				handover);
 		this.core.launcher(runner::launch);
+		this.core.leaver(this.gate::leave);
 		this.sweep = new AgentSweep(this.core, this.keyed);
 		this.drain = new AgentDrain(this.core, handover);
 	}
@@ -99,17 +100,18 @@
 		AgentRequest request = new AgentRequest(submit, this.core.records().organisation(submit.getOrganisation()),
 				this.core.records().priority(submit.getPriority()), link, this.core.nowMs());
 		AgentCore.PoolNow pool = this.core.pool();
-		SuspectTable.Verdict verdict = this.gate.check(request, pool);
+		Optional<Refusal> suspicion = this.gate.enter(request, pool);
 		this.core.act((effects) -> {
 			if (this.core.table().isKnown(submit.getId())) {
 				this.core.metrics().count("repeatedIds");
+				effects.add(() -> this.gate.leave(request));
 				return;
 			}
 			this.core.noteLimit(pool);
 			this.core.table().add(request);
 			this.core.trace(request);
 			detachIfClosed(request, link);
-			Optional<Refusal> obstacle = obstacle(request, verdict, pool);
+			Optional<Refusal> obstacle = obstacle(request).or(() -> suspicion);
 			if (obstacle.isPresent()) {
 				this.core.refuse(request, obstacle.get().provedFor(request));
 				return;
@@ -118,17 +120,13 @@
 		});
 	}
 
-	private Optional<Refusal> obstacle(AgentRequest request, SuspectTable.Verdict verdict, AgentCore.PoolNow pool) {
+	private Optional<Refusal> obstacle(AgentRequest request) {
 		String served = this.core.identity().pool();
 		if (!request.submit().getPool().equals(served)) {
 			String detail = "This agent serves pool " + served + ", not " + request.submit().getPool();
 			return Optional.of(Refusal.redirect(Failure.notRun(FailureCode.UNKNOWN_POOL, detail, 0)));
 		}
-		boolean suspect = verdict.kind() != SuspectTable.Kind.FREE;
-		if (suspect && verdict.kind().mayRun() && !this.core.admission().admitsNow(pool.spec(), pool.load())) {
-			return Optional.of(Refusal.refuse(SuspectGate.suspect("There is no room for its run now", verdict)));
-		}
-		return SuspectGate.refusal(verdict);
+		return Optional.empty();
 	}
 
 	private void offer(AgentRequest request, AgentCore.PoolNow pool, List<Runnable> effects) {
@@ -136,7 +134,8 @@
 			this.core.prepare(request, effects);
 			return;
 		}
-		boolean mayRedirect = !request.submit().getFinalTrial() && !request.keyed();
+		boolean onlyHere = request.keyed() || request.isolated();
+		boolean mayRedirect = !request.submit().getFinalTrial() && !onlyHere;
 		AdmissionControl.Verdict verdict = this.core.admission()
 			.offer(request, pool.spec(), pool.load(), mayRedirect, this.core.nowMs());
 		switch (verdict.decision()) {
--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/SuspectGate.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/SuspectGate.java
@@ -31,21 +31,9 @@
 	}
 
 	/**
-	 * Decide about a request that has arrived.
-	 * @param request the request
-	 * @param pool the pool now
-	 * @return the verdict
-	 */
-	SuspectTable.Verdict check(AgentRequest request, AgentCore.PoolNow pool) {
-		if (this.table.isEmpty()) {
-			return SuspectTable.Verdict.FREE;
-		}
-		return this.table.check(fingerprint(request), request.keyed(), pool.load().otherHealthy(), this.core.nowMs());
-	}
-
-	/**
-	 * Decide about a request that is about to be sent, and take the place for suspects if
-	 * it is one.
+	 * Decide about a request that has arrived or is about to be sent, and take the place
+	 * for suspects if it is one. A suspect that waits in the queue holds the place, so
+	 * that others are refused at once and it cannot starve while the server is busy.
 	 * @param request the request
 	 * @param pool the pool now
 	 * @return why it must not run, or empty if it may
@@ -54,18 +42,17 @@
 		if (this.table.isEmpty()) {
 			return Optional.empty();
 		}
-		SuspectTable.Verdict verdict = this.table.enter(fingerprint(request), request.keyed(),
-				pool.load().otherHealthy(), this.core.nowMs());
+		int otherHealthy = pool.load().otherHealthy();
+		if (request.isolated()) {
+			return refusal(this.table.confirm(fingerprint(request), request.keyed(), otherHealthy, this.core.nowMs()));
+		}
+		SuspectTable.Verdict verdict = this.table.enter(fingerprint(request), request.keyed(), otherHealthy,
+				this.core.nowMs());
 		request.isolated(verdict.kind() == SuspectTable.Kind.ISOLATED);
 		return refusal(verdict);
 	}
 
-	/**
-	 * Turn a verdict into what the router is told.
-	 * @param verdict the verdict
-	 * @return the refusal, or empty if the request may run
-	 */
-	static Optional<Refusal> refusal(SuspectTable.Verdict verdict) {
+	private static Optional<Refusal> refusal(SuspectTable.Verdict verdict) {
 		return switch (verdict.kind()) {
 			case FREE, ISOLATED -> Optional.empty();
 			case BUSY -> Optional.of(Refusal.refuse(suspect("Another suspect is running alone here", verdict)));
@@ -79,11 +66,15 @@
 		};
 	}
 
-	static Failure suspect(String reason, SuspectTable.Verdict verdict) {
+	private static Failure suspect(String reason, SuspectTable.Verdict verdict) {
 		return Failure.notRun(FailureCode.REQUEST_SUSPECT, "The request was in flight when a backend server crashed. "
 				+ reason + "; send it again after the time in Retry-After", verdict.retryAfterMs());
 	}
 
+	/**
+	 * Give back the place for suspects, if the request holds it.
+	 * @param request the request
+	 */
 	void leave(AgentRequest request) {
 		if (request.isolated()) {
 			request.isolated(false);
--- a/server/src/main/java/org/acaciamux/internal/coordination/quarantine/SuspectTable.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/quarantine/SuspectTable.java
@@ -81,31 +81,32 @@
 	}
 
 	/**
-	 * Decide whether a request may run here.
+	 * Decide whether a request may run here, and if it is a suspect, take the only place
+	 * for suspects. Every {@link Kind#ISOLATED} is followed by one {@link #leave}.
 	 * @param fingerprint the request's fingerprint
 	 * @param pinned whether no other agent may run the request, as with keyed calls
 	 * @param otherHealthy other healthy servers of the pool
 	 * @param nowMs the time
 	 * @return the verdict
 	 */
-	public Verdict check(long fingerprint, boolean pinned, int otherHealthy, long nowMs) {
+	public Verdict enter(long fingerprint, boolean pinned, int otherHealthy, long nowMs) {
 		return decide(fingerprint, pinned, otherHealthy, nowMs, false);
 	}
 
 	/**
-	 * Decide whether a request may run here, and if it is a suspect, take the only place
-	 * for suspects. Every {@link Kind#ISOLATED} is followed by one {@link #leave}.
+	 * Decide again about a request that holds the place for suspects and is about to be
+	 * sent.
 	 * @param fingerprint the request's fingerprint
 	 * @param pinned whether no other agent may run the request, as with keyed calls
 	 * @param otherHealthy other healthy servers of the pool
 	 * @param nowMs the time
-	 * @return the verdict
+	 * @return the verdict; the place is held until {@link #leave} whatever it is
 	 */
-	public Verdict enter(long fingerprint, boolean pinned, int otherHealthy, long nowMs) {
+	public Verdict confirm(long fingerprint, boolean pinned, int otherHealthy, long nowMs) {
 		return decide(fingerprint, pinned, otherHealthy, nowMs, true);
 	}
 
-	private Verdict decide(long fingerprint, boolean pinned, int otherHealthy, long nowMs, boolean take) {
+	private Verdict decide(long fingerprint, boolean pinned, int otherHealthy, long nowMs, boolean holding) {
 		if (this.empty) {
 			return Verdict.FREE;
 		}
@@ -117,10 +118,12 @@
 				return Verdict.FREE;
 			}
 			Verdict verdict = judge(suspect, target, otherHealthy, nowMs);
-			if (take && verdict.kind() == Kind.ISOLATED) {
+			boolean free = holding || this.isolated == null;
+			if (verdict.kind() == Kind.ISOLATED && free) {
 				this.isolated = fingerprint;
+				return verdict;
 			}
-			return verdict;
+			return (verdict.kind() == Kind.ISOLATED) ? new Verdict(Kind.BUSY, "", RETRY_MS) : verdict;
 		});
 	}
 
@@ -134,7 +137,7 @@
 		if (!target.get().equals(this.self)) {
 			return new Verdict(Kind.ELSEWHERE, target.get(), RETRY_MS);
 		}
-		return new Verdict((this.isolated != null) ? Kind.BUSY : Kind.ISOLATED, "", RETRY_MS);
+		return new Verdict(Kind.ISOLATED, "", RETRY_MS);
 	}
 
 	/**
