Run keyed calls through the claim ledger in the daemon

Cause: agents refused every keyed call, so the demo's charge failed with claims-unavailable. Ruled out: claiming in the router; it sees only a part of the calls of a key. Change: each agent runs ClaimLedger and PartitionOwnership; routers find owners in the spread ClaimPartition records; a drain hands partitions over before the process stops; control traffic meters take their whole prefix. Before: the demo fails at the charge. After: the charge runs once, the repeated charge through the other router is replayed, the demo ends with exit code 0 in 22 s.

--- a/server/src/main/java/org/acaciamux/internal/coordination/configuration/SyncState.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/configuration/SyncState.java
@@ -52,7 +52,7 @@
 		this.settings = settings;
 		this.parts = parts;
 		this.tasks = tasks;
-		this.traffic = new ControlTraffic(parts.metrics(), "configuration");
+		this.traffic = new ControlTraffic(parts.metrics(), "acaciamux.configuration.sentBytes");
 		this.startedAtMs = nowMs();
 	}
 
--- a/server/src/main/java/org/acaciamux/internal/coordination/membership/ControlTraffic.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/membership/ControlTraffic.java
@@ -8,8 +8,8 @@
 import org.acaciamux.internal.protocol.wire.Frame;
 
 /**
- * Sends control frames and measures their bytes by kind of message in the meters
- * {@code acaciamux.<topic>.sentBytes.<kind>}. Thread-safe.
+ * Sends control frames and measures their bytes by kind of message in the meters named
+ * {@code <prefix>.<kind>}. Thread-safe.
  */
 public final class ControlTraffic {
 
@@ -20,11 +20,11 @@
 	/**
 	 * Create a sender.
 	 * @param metrics takes the meters
-	 * @param topic the topic in the meters' names
+	 * @param prefix the prefix of the meters' names
 	 */
-	public ControlTraffic(MetricRegistry metrics, String topic) {
+	public ControlTraffic(MetricRegistry metrics, String prefix) {
 		this.metrics = metrics;
-		this.prefix = "acaciamux." + topic + ".sentBytes.";
+		this.prefix = prefix;
 	}
 
 	/**
@@ -34,7 +34,7 @@
 	 */
 	public void send(PeerLink link, Frame frame) {
 		String kind = frame.getBodyCase().name().toLowerCase(Locale.ROOT);
-		this.metrics.meter(this.prefix + kind).mark(frame.getSerializedSize());
+		this.metrics.meter(this.prefix + "." + kind).mark(frame.getSerializedSize());
 		link.send(frame);
 	}
 
--- a/server/src/main/java/org/acaciamux/internal/process/AgentRuntime.java
+++ b/server/src/main/java/org/acaciamux/internal/process/AgentRuntime.java
@@ -8,7 +8,10 @@
 import org.acaciamux.internal.coordination.admission.AgentIdentity;
 import org.acaciamux.internal.coordination.admission.AgentService;
 import org.acaciamux.internal.coordination.admission.DrainProgress;
-import org.acaciamux.internal.coordination.claim.CallClaims;
+import org.acaciamux.internal.coordination.claim.ClaimLedger;
+import org.acaciamux.internal.coordination.claim.ClaimSettings;
+import org.acaciamux.internal.coordination.claim.OwnershipSettings;
+import org.acaciamux.internal.coordination.claim.PartitionOwnership;
 import org.acaciamux.internal.coordination.membership.Member;
 import org.acaciamux.internal.coordination.membership.PoolLoadView;
 import org.acaciamux.internal.coordination.quarantine.SuspectTable;
@@ -24,8 +27,16 @@
  */
 final class AgentRuntime implements RoleRuntime {
 
+	private static final int LEDGER_TICK_MS = 20;
+
+	private static final int OWNERSHIP_TICK_MS = 100;
+
 	private final ProcessCore core;
 
+	private final ClaimLedger ledger;
+
+	private final PartitionOwnership ownership;
+
 	private final AgentService service;
 
 	private final BackendClient backend;
@@ -34,7 +45,7 @@
 
 	private final String pool;
 
-	AgentRuntime(ProcessCore core, PoolLoadView loads, Optional<CallClaims> claims) {
+	AgentRuntime(ProcessCore core, PoolLoadView loads) {
 		this.core = core;
 		AgentSettings settings = core.settings.agent().orElseThrow();
 		this.pool = settings.pool();
@@ -45,11 +56,18 @@
 		SuspectTable suspects = new SuspectTable(core.settings.id(), this::designated);
 		AgentService.Server server = new AgentService.Server(this.backend, this.backend,
 				new ChatTransfers(core, this.chooser));
-		this.service = new AgentService(identity, core.records, loads, server, claims, suspects, core.clock,
-				core.registry);
+		this.ledger = new ClaimLedger(this.pool, core.settings.id(), core.incarnation, core.store, core.records,
+				core.epochClock, core.clock, ClaimSettings.defaults(), core.registry);
+		this.service = new AgentService(identity, core.records, loads, server, Optional.of(this.ledger), suspects,
+				core.clock, core.registry);
+		this.ownership = new PartitionOwnership(this.pool, core.settings.id(), core.incarnation, this.ledger,
+				core.records, core.members, () -> !this.service.backendDown(), core.clock, core.newRandom(),
+				OwnershipSettings.defaults());
 		core.dispatcher.add(this.service, BodyCase.SUBMIT, BodyCase.CREDIT, BodyCase.CANCEL, BodyCase.RESUME,
 				BodyCase.RESOLVE, BodyCase.KV_OFFER);
 		core.workers.every(this.service::tick, AgentService.TICK_MS);
+		core.workers.every(this.ledger::tick, LEDGER_TICK_MS);
+		core.workers.every(this.ownership::tick, OWNERSHIP_TICK_MS);
 	}
 
 	AgentService service() {
@@ -84,12 +102,16 @@
 	@Override
 	public void beginDrain() {
 		this.service.drain();
+		this.ownership.drain();
 	}
 
 	@Override
 	public List<String> waitingFor() {
 		DrainProgress progress = this.service.drainProgress();
 		boolean idle = progress.running() + progress.queued() + progress.unsent() + progress.transfers() == 0;
+		if (progress.draining() && progress.done() && !this.ownership.drained()) {
+			return List.of("partitions to be handed over");
+		}
 		if (progress.done() || (!progress.draining() && idle)) {
 			return List.of();
 		}
@@ -100,6 +122,8 @@
 	@Override
 	public void dump(ObjectNode dump) {
 		dump.set("agent", this.service.dump());
+		dump.set("claims", this.ledger.dump());
+		dump.set("partitionOwnership", this.ownership.dump());
 	}
 
 	@Override
--- a/server/src/main/java/org/acaciamux/internal/process/NodeStarter.java
+++ b/server/src/main/java/org/acaciamux/internal/process/NodeStarter.java
@@ -1,13 +1,13 @@
 package org.acaciamux.internal.process;
 
 import java.util.List;
-import java.util.Optional;
 
 import io.netty.channel.ChannelFuture;
 import io.vavr.control.Either;
 
 import org.acaciamux.Acaciamux.StartFailure;
 import org.acaciamux.Node;
+import org.acaciamux.internal.coordination.claim.RecordPartitionOwners;
 import org.acaciamux.internal.coordination.configuration.ConfigurationParts;
 import org.acaciamux.internal.coordination.configuration.ConfigurationSettings;
 import org.acaciamux.internal.coordination.configuration.ConfigurationSync;
@@ -65,9 +65,9 @@
 
 	private static Either<StartFailure, RoleRuntime> role(ProcessCore core, ConfigurationSync configuration) {
 		if (core.settings.role() == Role.AGENT) {
-			return Either.right(new AgentRuntime(core, () -> new PoolLoad(1, 0, 0), Optional.empty()));
+			return Either.right(new AgentRuntime(core, () -> new PoolLoad(1, 0, 0)));
 		}
-		RouterRuntime role = new RouterRuntime(core, (pool, key) -> Optional.empty(), configuration::ready);
+		RouterRuntime role = new RouterRuntime(core, new RecordPartitionOwners(core.records), configuration::ready);
 		Endpoint listen = core.settings.listen().orElseThrow();
 		return role.bind(listen).mapLeft((ex) -> inUse("listen", listen, ex)).map((address) -> role);
 	}
