--- a/server/src/main/java/org/acaciamux/internal/cli/ConflictReport.java
+++ b/server/src/main/java/org/acaciamux/internal/cli/ConflictReport.java
@@ -53,8 +53,9 @@
 	}
 
 	private static void differences(JsonNode stored, JsonNode yours, List<String> lines) {
-		lines.add("from stored to yours:");
-		FieldChange.between(stored, yours).forEach((change) -> lines.add("  " + change.line()));
+		List<FieldChange> changes = FieldChange.between(stored, yours);
+		lines.add(changes.isEmpty() ? "both have the same content" : "from stored to yours:");
+		changes.forEach((change) -> lines.add("  " + change.line()));
 	}
 
 	private static void indented(JsonNode document, List<String> lines) {
