Widen the margin of reusePreference

Cause: at the default preference 0.5 the chooser gave up 8% (mix prefixes) to 13% (conversations) of the unbounded hash's reuse, while the 99th percentile of busiest over mean stayed where it was.

Change: the margin is twice as wide.

--- a/server/src/main/java/org/acaciamux/internal/coordination/routing/CandidateOrder.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/routing/CandidateOrder.java
@@ -19,6 +19,13 @@
 
 	private static final int NONE = -1;
 
+	/**
+	 * Margin at {@code reusePreference} 0.5 in multiples of what the load bound allows
+	 * above the mean. With a margin of 1 the default preference lost 8% to 13% of the
+	 * reuse for no lower 99th percentile of the skew.
+	 */
+	private static final double MARGIN = 2.0;
+
 	private final PoolSpec pool;
 
 	private final CandidateIndex index;
@@ -103,8 +110,8 @@
 
 	/**
 	 * Return whether the preferred server must give way. At {@code reusePreference} 0.0
-	 * any less loaded candidate is preferred, at 1.0 none; at 0.5 the server may be as
-	 * far above the candidate as the load bound allows it to be above the mean.
+	 * any less loaded candidate is preferred, at 1.0 none; at 0.5 the server may be twice
+	 * as far above the candidate as the load bound allows it to be above the mean.
 	 * @param preferred the load of the preferred server
 	 * @param lightest the load of the least loaded candidate
 	 * @return whether the candidate is tried first
@@ -114,7 +121,7 @@
 		if (preference >= 1.0) {
 			return false;
 		}
-		double margin = preference / (1.0 - preference) * (this.pool.loadBound() - 1.0);
+		double margin = MARGIN * preference / (1.0 - preference) * (this.pool.loadBound() - 1.0);
 		return preferred - lightest > margin * (lightest + 1);
 	}
 
