--- a/server/src/main/java/org/acaciamux/internal/coordination/routing/CandidateIndex.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/routing/CandidateIndex.java
@@ -128,9 +128,11 @@
 	 */
 	int[] rank(long chat, int count, int without) {
 		CandidateRanking ranking = new CandidateRanking(this, count);
+		long floor = Long.MIN_VALUE;
 		for (int slot = 0; slot < this.hashes.length; slot++) {
-			if (slot != without) {
-				ranking.offer(slot, RendezvousHash.weight(chat, this.hashes[slot]));
+			long weight = RendezvousHash.weight(chat, this.hashes[slot]);
+			if (weight > floor && slot != without) {
+				floor = ranking.offer(slot, weight);
 			}
 		}
 		return ranking.order();
--- a/server/src/main/java/org/acaciamux/internal/coordination/routing/CandidateRanking.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/routing/CandidateRanking.java
@@ -29,15 +29,22 @@
 		this.weights = new long[this.top.length];
 	}
 
-	void offer(int slot, long weight) {
-		if (this.size > 0 && weight <= this.apartWeight && weight <= this.weights[this.size - 1]
-				&& this.size == this.top.length) {
-			return;
-		}
+	/**
+	 * Take a member into account.
+	 * @param slot its slot
+	 * @param weight its weight
+	 * @return the weight up to which a further member changes nothing
+	 */
+	long offer(int slot, long weight) {
 		if (this.top.length > 1) {
 			noteApart(slot, weight);
 		}
 		insert(slot, weight);
+		if (this.size < this.top.length) {
+			return Long.MIN_VALUE;
+		}
+		long last = this.weights[this.size - 1];
+		return (this.top.length > 1) ? Math.min(this.apartWeight, last) : last;
 	}
 
 	private void noteApart(int slot, long weight) {
