--- a/server/src/test/java/org/acaciamux/internal/coordination/routing/LinkRecoveryTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/routing/LinkRecoveryTests.java
@@ -1,5 +1,7 @@
 package org.acaciamux.internal.coordination.routing;
 
+import java.util.ArrayList;
+
 import org.testng.annotations.Test;
 
 import org.acaciamux.FailureCode;
@@ -36,6 +38,7 @@
 		fixture.router.handle(fresh, AgentFrames.head(id, "a"));
 		fixture.router.handle(fresh, AgentFrames.chunk(id, 3, "two"));
 		fixture.router.handle(fresh, AgentFrames.end(id, 6));
+		assertEquals(sink.heads, 1);
 		assertTrue(sink.answered());
 		assertEquals(sink.body.toStringUtf8(), "onetwo");
 		assertEquals(fresh.sent(BodyCase.SUBMIT).size(), 0);
@@ -47,8 +50,10 @@
 		fixture.route(RouterFixture.chat("x"));
 		fixture.route(RouterFixture.chat("y"));
 		FakeLink old = fixture.link("a");
+		fixture.pendingLinks = new ArrayList<>();
 		fixture.router.linkSilent(old);
-		assertEquals(fixture.links.size(), 2);
+		assertEquals(fixture.pendingLinks.size(), 1);
+		fixture.pendingLinks.get(0).run();
 		assertNotSame(fixture.link("a"), old);
 		assertEquals(fixture.link("a").sent(BodyCase.RESOLVE).size(), 2);
 		assertEquals(fixture.link("a").sent(BodyCase.SUBMIT).size(), 0);
@@ -151,6 +156,32 @@
 		assertEquals(sink.ends, 0);
 	}
 
+	@Test
+	public void aSilentLinkThatWorksAgainBeforeItsReplacementKeepsItsRequests() {
+		RouterFixture fixture = new RouterFixture();
+		FakeSink sink = fixture.route(RouterFixture.chat("x"));
+		FakeLink link = fixture.link("a");
+		RequestId id = fixture.lastId(link);
+		fixture.pendingLinks = new ArrayList<>();
+		fixture.router.linkSilent(link);
+		fixture.router.handle(link, AgentFrames.head(id, "a"));
+		fixture.router.handle(link, AgentFrames.end(id, 0));
+		fixture.pendingLinks.get(0).run();
+		assertTrue(sink.answered());
+	}
+
+	@Test
+	public void anAttemptToConnectThatNeverEndsIsLeftForTheNextCandidate() {
+		RouterFixture fixture = new RouterFixture();
+		fixture.pendingLinks = new ArrayList<>();
+		fixture.route(RouterFixture.chat("x"));
+		fixture.pass(2_100);
+		fixture.pendingLinks.get(1).run();
+		fixture.pendingLinks.get(0).run();
+		assertEquals(fixture.link("b").sent(BodyCase.SUBMIT).size(), 1);
+		assertEquals(fixture.link("a").sent(BodyCase.SUBMIT).size(), 0);
+	}
+
 	private static RequestId loseLink(RouterFixture fixture) {
 		FakeLink link = fixture.link("a");
 		RequestId id = fixture.lastId(link);
--- a/server/src/test/java/org/acaciamux/internal/coordination/routing/RouterFixture.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/routing/RouterFixture.java
@@ -61,6 +61,9 @@
 
 	String owner = "a";
 
+	/** Attempts to open a link that the test completes; null opens links at once. */
+	List<Runnable> pendingLinks;
+
 	boolean networkLost;
 
 	boolean ready = true;
@@ -141,10 +144,19 @@
 			return CompletableFuture
 				.completedFuture(Either.left(Failure.notRun(FailureCode.AGENT_UNREACHABLE, "refused", 0)));
 		}
-		FakeLink link = new FakeLink(member.id(), this.incarnations.get(member.id()),
-				(from, frame) -> this.onSend.accept(from, frame));
-		this.links.add(link);
-		return CompletableFuture.completedFuture(Either.right(link));
+		CompletableFuture<Either<Failure, PeerLink>> result = new CompletableFuture<>();
+		Runnable open = () -> {
+			FakeLink link = new FakeLink(member.id(), this.incarnations.get(member.id()),
+					(from, frame) -> this.onSend.accept(from, frame));
+			this.links.add(link);
+			result.complete(Either.right(link));
+		};
+		if (this.pendingLinks != null) {
+			this.pendingLinks.add(open);
+			return result;
+		}
+		open.run();
+		return result;
 	}
 
 	@Override
