--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/process/AgentRuntime.java
@@ -0,0 +1,134 @@
+package org.acaciamux.internal.process;
+
+import java.util.List;
+import java.util.Optional;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+import org.acaciamux.internal.coordination.admission.AgentIdentity;
+import org.acaciamux.internal.coordination.admission.AgentService;
+import org.acaciamux.internal.coordination.admission.DrainProgress;
+import org.acaciamux.internal.coordination.claim.ClaimLedger;
+import org.acaciamux.internal.coordination.claim.ClaimSettings;
+import org.acaciamux.internal.coordination.claim.OwnershipSettings;
+import org.acaciamux.internal.coordination.claim.PartitionOwnership;
+import org.acaciamux.internal.coordination.membership.Member;
+import org.acaciamux.internal.coordination.membership.PoolLoadView;
+import org.acaciamux.internal.coordination.quarantine.SuspectTable;
+import org.acaciamux.internal.coordination.routing.RendezvousChooser;
+import org.acaciamux.internal.protocol.wire.Frame.BodyCase;
+import org.acaciamux.internal.state.record.PoolSpec;
+import org.acaciamux.internal.transport.http.BackendClient;
+import org.acaciamux.internal.transport.http.BackendSettings;
+import org.acaciamux.settings.AgentSettings;
+
+/**
+ * The agent role: runs requests on the backend server beside it. Thread-safe.
+ */
+final class AgentRuntime implements RoleRuntime {
+
+	private static final int LEDGER_TICK_MS = 20;
+
+	private static final int OWNERSHIP_TICK_MS = 100;
+
+	private final ProcessCore core;
+
+	private final ClaimLedger ledger;
+
+	private final PartitionOwnership ownership;
+
+	private final AgentService service;
+
+	private final BackendClient backend;
+
+	private final RendezvousChooser chooser = new RendezvousChooser();
+
+	private final String pool;
+
+	AgentRuntime(ProcessCore core, PoolLoadView loads) {
+		this.core = core;
+		AgentSettings settings = core.settings.agent().orElseThrow();
+		this.pool = settings.pool();
+		AgentIdentity identity = new AgentIdentity(core.settings.id(), this.pool, core.incarnation);
+		this.backend = new BackendClient(core.group,
+				BackendSettings.defaults(settings.backend().address(), settings.backend().port(), false),
+				this::isModelEngine);
+		SuspectTable suspects = new SuspectTable(core.settings.id(), this::designated);
+		AgentService.Server server = new AgentService.Server(this.backend, this.backend,
+				new ChatTransfers(core, this.chooser));
+		this.ledger = new ClaimLedger(this.pool, core.settings.id(), core.incarnation, core.store, core.records,
+				core.epochClock, core.clock, ClaimSettings.defaults(), core.registry);
+		this.service = new AgentService(identity, core.records, loads, server, Optional.of(this.ledger), suspects,
+				core.clock, core.registry);
+		this.ownership = new PartitionOwnership(this.pool, core.settings.id(), core.incarnation, this.ledger,
+				core.records, core.members, () -> !this.service.backendDown(), core.clock, core.newRandom(),
+				OwnershipSettings.defaults());
+		core.dispatcher.add(this.service, BodyCase.SUBMIT, BodyCase.CREDIT, BodyCase.CANCEL, BodyCase.RESUME,
+				BodyCase.RESOLVE, BodyCase.KV_OFFER);
+		core.workers.every(this.service::tick, AgentService.TICK_MS);
+		core.workers.every(this.ledger::tick, LEDGER_TICK_MS);
+		core.workers.every(this.ownership::tick, OWNERSHIP_TICK_MS);
+	}
+
+	AgentService service() {
+		return this.service;
+	}
+
+	private boolean isModelEngine() {
+		return this.core.records.pool(this.pool).map(PoolSpec::model).orElse(false);
+	}
+
+	private Optional<String> designated(long fingerprint) {
+		List<Member> agents = this.core.members.agents(this.pool);
+		return this.chooser.rank(this.pool, agents, Long.toHexString(fingerprint), 1)
+			.stream()
+			.map(Member::id)
+			.findFirst();
+	}
+
+	@Override
+	public int httpPort() {
+		return 0;
+	}
+
+	@Override
+	public Optional<String> notReadyReason() {
+		if (this.core.records.pool(this.pool).isEmpty()) {
+			return Optional.of("no record of pool " + this.pool + " is in force");
+		}
+		return this.service.backendDown() ? Optional.of("the backend server is down") : Optional.empty();
+	}
+
+	@Override
+	public void beginDrain() {
+		this.service.drain();
+		this.ownership.drain();
+	}
+
+	@Override
+	public List<String> waitingFor() {
+		DrainProgress progress = this.service.drainProgress();
+		boolean idle = progress.running() + progress.queued() + progress.unsent() + progress.transfers() == 0;
+		if (progress.draining() && progress.done() && !this.ownership.drained()) {
+			return List.of("partitions to be handed over");
+		}
+		if (progress.done() || (!progress.draining() && idle)) {
+			return List.of();
+		}
+		return List.of(progress.running() + " running, " + progress.queued() + " queued, " + progress.unsent()
+				+ " unsent, " + progress.transfers() + " cache transfers, oldest " + progress.oldestMs() + " ms");
+	}
+
+	@Override
+	public void dump(ObjectNode dump) {
+		dump.set("agent", this.service.dump());
+		dump.set("claims", this.ledger.dump());
+		dump.set("partitionOwnership", this.ownership.dump());
+	}
+
+	@Override
+	public void close() {
+		this.backend.close();
+	}
+
+}
