Add a server drawn from the whole pool as the last one tried

Cause: a chat or shared prefix whose traffic exceeds its candidates waits at them while other servers are idle.

Change: a plan ends with the least loaded of four members drawn at random; the draw varies from plan to plan so that the overflow reaches the pool.

--- a/server/src/main/java/org/acaciamux/internal/coordination/routing/CandidateChooser.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/routing/CandidateChooser.java
@@ -8,7 +8,8 @@
 
 /**
  * Decides in which order the backend servers of a pool are tried for a chat.
- * Implementations are thread-safe and deterministic for the same input and hints.
+ * Implementations are thread-safe and deterministic for the same input and hints, but for
+ * a last server that takes what overflows from the others and varies from plan to plan.
  */
 public interface CandidateChooser {
 
--- a/server/src/main/java/org/acaciamux/internal/coordination/routing/CandidateOrder.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/routing/CandidateOrder.java
@@ -19,6 +19,9 @@
 
 	private static final int NONE = -1;
 
+	/** Members drawn for the overflow, of which the least loaded is taken. */
+	private static final int OVERFLOW_DRAWS = 4;
+
 	/**
 	 * Margin at {@code reusePreference} 0.5 in multiples of what the load bound allows
 	 * above the mean. With a margin of 1 the default preference lost 8% to 13% of the
@@ -36,16 +39,19 @@
 
 	private final int[] ranked;
 
-	CandidateOrder(PoolSpec pool, CandidateIndex index, int token, int last, int[] ranked) {
+	private final long draw;
+
+	CandidateOrder(PoolSpec pool, CandidateIndex index, int token, int last, int[] ranked, long draw) {
 		this.pool = pool;
 		this.index = index;
 		this.token = token;
 		this.last = last;
 		this.ranked = ranked;
+		this.draw = draw;
 	}
 
 	List<Trial> trials() {
-		List<Trial> trials = new ArrayList<>(this.ranked.length + 2);
+		List<Trial> trials = new ArrayList<>(this.ranked.length + 3);
 		int holder = (this.token != NONE) ? this.token : this.last;
 		if (holder == NONE || goesHome(this.index.member(holder).load())) {
 			add(trials, this.ranked[0]);
@@ -56,9 +62,27 @@
 			add(trials, slot);
 		}
 		preferLighter(trials);
+		addOverflow(trials);
 		return trials;
 	}
 
+	/**
+	 * Add a last server, drawn from the whole pool, so that the requests of a chat that
+	 * alone exceeds its candidates spread over the pool and do not wait while other
+	 * servers are idle.
+	 * @param trials the servers in order
+	 */
+	private void addOverflow(List<Trial> trials) {
+		int lightest = NONE;
+		for (int i = 1; i <= OVERFLOW_DRAWS; i++) {
+			int slot = (int) Long.remainderUnsigned(RendezvousHash.weight(this.draw, i), this.index.size());
+			if (lightest == NONE || this.index.member(slot).load() < this.index.member(lightest).load()) {
+				lightest = slot;
+			}
+		}
+		add(trials, lightest);
+	}
+
 	/**
 	 * Return whether a chat leaves its holder for the first candidate: when the candidate
 	 * is less loaded, or more loaded by less than half of what the load bound allows.
--- a/server/src/main/java/org/acaciamux/internal/coordination/routing/RendezvousChooser.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/routing/RendezvousChooser.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 
 import org.acaciamux.internal.coordination.membership.Member;
 import org.acaciamux.internal.state.record.PoolSpec;
@@ -28,6 +29,9 @@
 
 	private final Map<String, CandidateIndex> indexes = new ConcurrentHashMap<>();
 
+	/** Varies the overflow server from plan to plan. */
+	private final AtomicLong plans = new AtomicLong();
+
 	private final RecentChats recent;
 
 	/**
@@ -55,7 +59,7 @@
 		int token = holder.isPresent() ? index.slotOf(RendezvousHash.of(holder.get())) : NONE;
 		int last = index.slotOf(this.recent.serverOf(key));
 		int[] ranked = index.rank(key, pool.candidates(), NONE);
-		return new CandidateOrder(pool, index, token, last, ranked).trials();
+		return new CandidateOrder(pool, index, token, last, ranked, key + this.plans.getAndIncrement()).trials();
 	}
 
 	@Override
