--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentRequest.java
@@ -0,0 +1,220 @@
+package org.acaciamux.internal.coordination.admission;
+
+import java.util.List;
+
+import org.acaciamux.internal.protocol.PeerLink;
+import org.acaciamux.internal.protocol.wire.RequestId;
+import org.acaciamux.internal.protocol.wire.Submit;
+import org.acaciamux.internal.state.record.OrganisationSpec;
+import org.acaciamux.internal.state.record.PrioritySpec;
+
+/**
+ * One request in an agent. Invariant: states only advance. Not thread-safe; guarded by
+ * the lock of {@link AgentService}, except for the immutable fields.
+ */
+final class AgentRequest implements Queued {
+
+	private final Submit submit;
+
+	private final OrganisationSpec organisation;
+
+	private final PrioritySpec priority;
+
+	private final long arrivedMs;
+
+	private final ResponseStream stream;
+
+	private final RequestTrace trace;
+
+	private State state = State.NEW;
+
+	private boolean admitted;
+
+	private volatile boolean isolated;
+
+	private boolean cancelled;
+
+	private boolean paused;
+
+	private Backend.Call call;
+
+	private long progressMs;
+
+	private long detachedMs = -1;
+
+	AgentRequest(Submit submit, OrganisationSpec organisation, PrioritySpec priority, PeerLink link, long arrivedMs) {
+		this.submit = submit;
+		this.organisation = organisation;
+		this.priority = priority;
+		this.arrivedMs = arrivedMs;
+		this.trace = new RequestTrace(submit, arrivedMs);
+		this.stream = new ResponseStream(submit.getId(), link, Integer.toUnsignedLong(submit.getInitialCredit()));
+	}
+
+	@Override
+	public OrganisationSpec organisation() {
+		return this.organisation;
+	}
+
+	@Override
+	public PrioritySpec priority() {
+		return this.priority;
+	}
+
+	@Override
+	public long arrivedMs() {
+		return this.arrivedMs;
+	}
+
+	@Override
+	public long deadlineMs() {
+		return this.arrivedMs + Integer.toUnsignedLong(this.submit.getDeadlineMs());
+	}
+
+	Submit submit() {
+		return this.submit;
+	}
+
+	RequestId id() {
+		return this.submit.getId();
+	}
+
+	boolean keyed() {
+		return this.submit.getKeyed();
+	}
+
+	ResponseStream stream() {
+		return this.stream;
+	}
+
+	State state() {
+		return this.state;
+	}
+
+	void advance(State next) {
+		this.state = next;
+	}
+
+	/**
+	 * Return whether the request counts as load.
+	 * @return whether it holds a place under the load bound
+	 */
+	boolean admitted() {
+		return this.admitted;
+	}
+
+	void admitted(boolean admitted) {
+		this.admitted = admitted;
+	}
+
+	/**
+	 * Return whether this is the isolated run of a crash suspect. Only touched by the
+	 * thread that starts or ends the run.
+	 * @return whether it holds the place for suspects
+	 */
+	boolean isolated() {
+		return this.isolated;
+	}
+
+	void isolated(boolean isolated) {
+		this.isolated = isolated;
+	}
+
+	RequestTrace trace() {
+		return this.trace;
+	}
+
+	/**
+	 * Return whether the final answer was given.
+	 * @return whether the request ended or was refused
+	 */
+	boolean isOver() {
+		return this.state == State.ENDED || this.state == State.REFUSED;
+	}
+
+	boolean cancelled() {
+		return this.cancelled;
+	}
+
+	void cancel(List<Runnable> effects) {
+		if (!this.cancelled && this.call != null) {
+			effects.add(this.call::cancel);
+		}
+		this.cancelled = true;
+	}
+
+	void started(Backend.Call call, List<Runnable> effects) {
+		this.call = call;
+		if (this.paused) {
+			call.pause();
+		}
+		if (this.cancelled) {
+			effects.add(call::cancel);
+		}
+	}
+
+	/**
+	 * Pause or resume reading from the backend server, according to the bytes that wait.
+	 * A keyed call is always read to its end, because its answer must be stored.
+	 */
+	void regulate() {
+		if (this.paused && this.stream.belowLowWater()) {
+			this.paused = false;
+			if (this.call != null) {
+				this.call.resume();
+			}
+		}
+		else if (!this.paused && !keyed() && this.stream.aboveHighWater()) {
+			this.paused = true;
+			if (this.call != null) {
+				this.call.pause();
+			}
+		}
+	}
+
+	boolean paused() {
+		return this.paused;
+	}
+
+	long progressMs() {
+		return this.progressMs;
+	}
+
+	void progress(long nowMs) {
+		this.progressMs = nowMs;
+	}
+
+	long detachedMs() {
+		return this.detachedMs;
+	}
+
+	void detach(long nowMs) {
+		this.stream.detach();
+		this.detachedMs = nowMs;
+	}
+
+	void attach() {
+		this.detachedMs = -1;
+	}
+
+	/**
+	 * State of a request. Immutable and thread-safe.
+	 */
+	enum State {
+
+		/** No decision yet. */
+		NEW,
+		/** It waits for its turn. */
+		QUEUED,
+		/** It was admitted and its claim is being written. */
+		CLAIMING,
+		/** It was sent to the backend server, or is attached to a running call. */
+		RUNNING,
+		/** Its response is complete or broke off. */
+		ENDED,
+		/** It did not run and will not run. */
+		REFUSED
+
+	}
+
+}
