--- a/examples/src/main/java/org/acaciamux/examples/harness/Polling.java
+++ b/examples/src/main/java/org/acaciamux/examples/harness/Polling.java
@@ -1,6 +1,7 @@
 package org.acaciamux.examples.harness;
 
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 
 /**
  * Waits for conditions in other processes. Holds no state.
@@ -19,6 +20,16 @@
 	 * @param condition the condition
 	 */
 	public static void await(String what, long seconds, BooleanSupplier condition) {
+		await(() -> what, seconds, condition);
+	}
+
+	/**
+	 * Wait until a condition holds. Exceptions of the condition count as false.
+	 * @param what the condition in words and what was seen, for the error
+	 * @param seconds how long to wait at most
+	 * @param condition the condition
+	 */
+	public static void await(Supplier<String> what, long seconds, BooleanSupplier condition) {
 		long end = System.nanoTime() + seconds * 1_000_000_000L;
 		RuntimeException last = null;
 		while (System.nanoTime() - end < 0) {
@@ -32,7 +43,7 @@
 			}
 			pause(PAUSE_MS);
 		}
-		throw new IllegalStateException("waited " + seconds + " s in vain until " + what, last);
+		throw new IllegalStateException("waited " + seconds + " s in vain until " + what.get(), last);
 	}
 
 	/**
