Apply the agents' own admission rule in the placement benchmark

Cause: the benchmark computed the load limit itself; the agents' rule has landed since.

Change: PlacementRun calls AdmissionControl.limit.

--- a/examples/src/main/java/org/acaciamux/examples/bench/placement/PlacementBench.java
+++ b/examples/src/main/java/org/acaciamux/examples/bench/placement/PlacementBench.java
@@ -30,6 +30,9 @@
 
 	private static final double[] PREFERENCES = { 0.0, 0.25, 0.5, 0.75, 1.0 };
 
+	/** So high that only the load bound limits the load. */
+	private static final int MAX_CONCURRENCY = 100_000;
+
 	private final BenchSettings settings;
 
 	private PlacementBench(BenchSettings settings) {
@@ -81,7 +84,7 @@
 
 	private PlacementRun run(Trace trace, int servers, Way way, boolean bounded, double preference) {
 		PoolSpec pool = new PoolSpec("assistant", true, true, this.settings.bound, preference, this.settings.candidates,
-				64, 512, 30_000, 30_000, 16, 900_000, false, "", List.of());
+				MAX_CONCURRENCY, 512, 30_000, 30_000, 16, 900_000, false, "", List.of());
 		return new PlacementRun(this.settings, trace, servers, way, bounded, pool);
 	}
 
--- a/examples/src/main/java/org/acaciamux/examples/bench/placement/PlacementRun.java
+++ b/examples/src/main/java/org/acaciamux/examples/bench/placement/PlacementRun.java
@@ -7,15 +7,17 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 
+import org.acaciamux.internal.coordination.admission.AdmissionControl;
 import org.acaciamux.internal.coordination.membership.Member;
 import org.acaciamux.internal.coordination.membership.MemberState;
+import org.acaciamux.internal.coordination.membership.PoolLoadView.PoolLoad;
 import org.acaciamux.internal.state.record.PoolSpec;
 
 /**
- * Runs the trace through one way. Routers choose with lagging loads; agents admit by the
- * rule of the design page with the loads that they know of each other; a request that all
- * its servers redirect is queued at the one that reported the lowest load. Network delay
- * is left out. Used by one thread.
+ * Runs the trace through one way. Routers choose with lagging loads; agents admit by
+ * {@link AdmissionControl#limit} with the loads that they know of each other; a request
+ * that all its servers redirect is queued at the one that reported the lowest load.
+ * Network delay is left out. Used by one thread.
  */
 final class PlacementRun {
 
@@ -199,12 +201,12 @@
 		if (!this.bounded) {
 			return Integer.MAX_VALUE;
 		}
-		int pooled = this.exchangedTotal - server.exchangedLoad + server.load;
-		return limit(pooled);
+		return limit(this.exchangedTotal - server.exchangedLoad, server.load);
 	}
 
-	private int limit(int pooled) {
-		return (int) Math.ceil(this.pool.loadBound() * (pooled + 1) / this.servers.length);
+	private int limit(int othersLoad, int ownLoad) {
+		PoolLoad others = new PoolLoad(this.servers.length, othersLoad, this.servers.length - 1);
+		return AdmissionControl.limit(this.pool, others, ownLoad);
 	}
 
 	private void submit(int request, double now) {
@@ -274,7 +276,7 @@
 		if (this.measuring) {
 			this.figures.requests++;
 			this.figures.hits += hit ? 1 : 0;
-			this.figures.noteAdmission(server.load, knownLimit, limit(this.total - 1));
+			this.figures.noteAdmission(server.load, knownLimit, limit(this.total - server.load, server.load - 1));
 		}
 	}
 
