--- a/server/src/main/java/org/acaciamux/internal/coordination/routing/CandidateOrder.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/routing/CandidateOrder.java
@@ -85,14 +85,13 @@
 
 	/**
 	 * Return whether a chat leaves its holder for the first candidate: when the candidate
-	 * is less loaded, or more loaded by less than half of what the load bound allows.
+	 * is less loaded, or more loaded by less than the load bound allows above the mean.
 	 * @param holder the load of the holder
 	 * @return whether the first candidate is tried first
 	 */
 	private boolean goesHome(int holder) {
 		int home = this.index.member(this.ranked[0]).load();
-		double margin = (this.pool.loadBound() - 1.0) / 2;
-		return home >= 0 && home < holder * (1.0 + margin);
+		return home >= 0 && home < holder * this.pool.loadBound();
 	}
 
 	private void add(List<Trial> trials, int slot) {
