Correct what status says about a missing time of writing

Cause: a run of real processes (platform, VM list and engine stand-ins, one router, one agent) showed that FleetStatus carries writtenAtMs instead of updatedAtMs for now, and status printed an age of 57 years.

Ruled out: reading both names.

Change: an unknown time is printed as unknown. Terminals are recognised on Java 22 and later too, where a console exists without one.

--- a/server/src/main/java/org/acaciamux/internal/cli/BacklogCommand.java
+++ b/server/src/main/java/org/acaciamux/internal/cli/BacklogCommand.java
@@ -64,8 +64,8 @@
 		List<String> lines = new ArrayList<>(page.backlog().lines(console));
 		for (FleetView.Domain domain : page.sample().last().domains()) {
 			if (FleetHealth.isStale(domain, page.nowMs())) {
-				lines.add("note: status of failure domain " + domain.name() + " is stale, written "
-						+ Durations.text(page.nowMs() - domain.updatedAtMs()) + " ago");
+				lines.add("note: status of failure domain " + domain.name() + " is stale, written: "
+						+ page.written(domain));
 			}
 		}
 		return lines;
--- a/server/src/main/java/org/acaciamux/internal/cli/Console.java
+++ b/server/src/main/java/org/acaciamux/internal/cli/Console.java
@@ -33,10 +33,29 @@
 		PrintStream out = new PrintStream(System.out, false, StandardCharsets.UTF_8);
 		PrintStream err = new PrintStream(System.err, true, StandardCharsets.UTF_8);
 		Map<String, String> environment = System.getenv();
-		boolean terminal = System.console() != null && !"dumb".equals(environment.get("TERM"));
+		boolean terminal = isTerminal(System.console()) && !"dumb".equals(environment.get("TERM"));
 		return new Console(out, err, System.in, environment, terminal, SystemEpochClock.INSTANCE, () -> true);
 	}
 
+	/**
+	 * Return whether the JVM's console is a terminal. Up to Java 21 there is a console
+	 * only on a terminal; later versions always have one and tell by a method that Java
+	 * 17 lacks.
+	 * @param console the JVM's console, null if there is none
+	 * @return whether output goes to a terminal
+	 */
+	private static boolean isTerminal(java.io.Console console) {
+		if (console == null) {
+			return false;
+		}
+		try {
+			return (Boolean) java.io.Console.class.getMethod("isTerminal").invoke(console);
+		}
+		catch (ReflectiveOperationException ex) {
+			return true;
+		}
+	}
+
 	boolean colours() {
 		return this.terminal && !this.environment.containsKey("NO_COLOR");
 	}
--- a/server/src/main/java/org/acaciamux/internal/cli/StatusPage.java
+++ b/server/src/main/java/org/acaciamux/internal/cli/StatusPage.java
@@ -56,14 +56,20 @@
 		Table table = new Table("FAILURE DOMAIN", "WRITTEN", "PROCESSES", "LOWEST REVISION", "HIGHEST REVISION",
 				"LAGGARD", "CONTROL B/S PER NODE");
 		for (FleetView.Domain domain : this.sample.last().domains()) {
-			String stale = FleetHealth.isStale(domain, this.nowMs) ? " (stale)" : "";
-			table.row(domain.name(), Durations.text(this.nowMs - domain.updatedAtMs()) + " ago" + stale,
-					domain.processes(), domain.lowest(), domain.highest(), orNone(domain.laggard()),
-					domain.controlBytes());
+			table.row(domain.name(), written(domain), domain.processes(), domain.lowest(), domain.highest(),
+					orNone(domain.laggard()), domain.controlBytes());
 		}
 		return table;
 	}
 
+	String written(FleetView.Domain domain) {
+		if (domain.updatedAtMs() == 0) {
+			return "unknown";
+		}
+		String stale = FleetHealth.isStale(domain, this.nowMs) ? " (stale)" : "";
+		return Durations.text(this.nowMs - domain.updatedAtMs()) + " ago" + stale;
+	}
+
 	private Table pools() {
 		Table table = new Table("POOL", "MEMBERS", "LOAD", "MEAN", "BUSIEST", "BUSIEST/MEAN", "QUEUED", "CACHE REUSE",
 				"LEAVING");
