--- a/server/src/main/java/org/acaciamux/DaemonMain.java
+++ b/server/src/main/java/org/acaciamux/DaemonMain.java
@@ -29,6 +29,9 @@
 	@Parameter(names = { "--help", "-h" }, help = true, description = "Print this help and exit")
 	private boolean help;
 
+	/** One line per event: time, level, then the event's own fields. */
+	private static final String LOG_FORMAT = "%1$tFT%1$tT.%1$tL%1$tz level=%4$s %5$s%6$s%n";
+
 	private DaemonMain() {
 	}
 
@@ -37,6 +40,7 @@
 	 * @param args the command line
 	 */
 	public static void main(String[] args) {
+		System.setProperty("java.util.logging.SimpleFormatter.format", LOG_FORMAT);
 		DaemonMain options = new DaemonMain();
 		JCommander commander = JCommander.newBuilder().programName("acaciamuxd").addObject(options).build();
 		try {
