Show load, backlog, refusals and cache reuse in the fleet status

Ruled out: the command line asking each agent's admin port, which is bound to loopback. Change: every process reports its work to its parent, WorkReports adds up with bounded lists, the watcher writes it into FleetStatus; routers count returning chats and those that reached their holder. Before: FleetStatus without pools. Conclusion: status and backlog of the command line have their producer.

--- a/server/src/main/java/org/acaciamux/internal/coordination/configuration/ConfigurationSync.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/configuration/ConfigurationSync.java
@@ -4,6 +4,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.Gauge;
@@ -61,6 +62,8 @@
 
 	private final Counter dropped;
 
+	private volatile Supplier<FleetReport> work = FleetReport::getDefaultInstance;
+
 	private ConfigurationTree tree;
 
 	private boolean watching;
@@ -121,6 +124,15 @@
 		return this.state.ready();
 	}
 
+	/**
+	 * Set what this process reports about its work.
+	 * @param work returns pools, backlog and control bytes of this process; other fields
+	 * are overwritten. Called without a lock other than that of the serial tasks
+	 */
+	public void reportWork(Supplier<FleetReport> work) {
+		this.work = work;
+	}
+
 	/**
 	 * Move on with time. Called about every 100 ms.
 	 */
@@ -223,7 +235,8 @@
 
 	private FleetReport report() {
 		RecordTable records = this.parts.records();
-		FleetReport own = FleetReport.newBuilder()
+		FleetReport own = this.work.get()
+			.toBuilder()
 			.setFailureDomain(this.settings.self().failureDomain())
 			.setLowestRevision(records.inForceRevision())
 			.setHighestRevision(records.completeRevision())
--- a/server/src/main/java/org/acaciamux/internal/coordination/configuration/FleetAggregate.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/configuration/FleetAggregate.java
@@ -40,6 +40,7 @@
 	}
 
 	private static void add(FleetReport.Builder sum, FleetReport report) {
+		WorkReports.add(sum, report);
 		sum.setProcesses(sum.getProcesses() + report.getProcesses());
 		sum.setHighestRevision(Math.max(sum.getHighestRevision(), report.getHighestRevision()));
 		if (report.getLowestRevision() < sum.getLowestRevision()) {
--- a/server/src/main/java/org/acaciamux/internal/coordination/configuration/FleetStatusWriter.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/configuration/FleetStatusWriter.java
@@ -1,7 +1,6 @@
 package org.acaciamux.internal.coordination.configuration;
 
 import com.codahale.metrics.Meter;
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vavr.control.Either;
 
@@ -108,14 +107,7 @@
 	}
 
 	private ObjectNode value(FleetReport report) {
-		return JsonNodeFactory.instance.objectNode()
-			.put("failureDomain", report.getFailureDomain())
-			.put("lowestRevision", report.getLowestRevision())
-			.put("highestRevision", report.getHighestRevision())
-			.put("processes", report.getProcesses())
-			.put("laggard", report.getLaggard())
-			.put("writer", this.state.self().id())
-			.put("writtenAtMs", this.state.parts().wallClock().time());
+		return FleetStatusJson.write(report, this.state.self().id(), this.state.parts().wallClock().time());
 	}
 
 }
--- a/server/src/main/java/org/acaciamux/internal/coordination/routing/RouterCall.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/routing/RouterCall.java
@@ -279,6 +279,9 @@
 		if (!head.getReplayed() && !head.getServer().isEmpty()) {
 			this.request.chat()
 				.ifPresent((chat) -> this.shared.context().chooser().served(this.pool.name(), chat, head.getServer()));
+			this.request.affinity()
+				.ifPresent(
+						(holder) -> this.shared.metrics().returned(this.pool.name(), holder.equals(head.getServer())));
 		}
 		step("response with status %d and load %d", head.getStatus(), head.getLoad());
 		state("streams from");
--- a/server/src/main/java/org/acaciamux/internal/coordination/routing/RouterMetrics.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/routing/RouterMetrics.java
@@ -41,6 +41,13 @@
 		this.registry.counter(PREFIX + "failed." + failure.code().code() + "." + failure.outcome().headerValue()).inc();
 	}
 
+	void returned(String pool, boolean reused) {
+		this.registry.counter(PREFIX + "returning." + pool).inc();
+		if (reused) {
+			this.registry.counter(PREFIX + "reused." + pool).inc();
+		}
+	}
+
 	void head(long nanos) {
 		this.headTime.update(nanos, TimeUnit.NANOSECONDS);
 	}
--- a/server/src/main/java/org/acaciamux/internal/process/AgentRuntime.java
+++ b/server/src/main/java/org/acaciamux/internal/process/AgentRuntime.java
@@ -16,6 +16,7 @@
 import org.acaciamux.internal.coordination.membership.PoolLoadView;
 import org.acaciamux.internal.coordination.quarantine.SuspectTable;
 import org.acaciamux.internal.coordination.routing.RendezvousChooser;
+import org.acaciamux.internal.protocol.wire.FleetReport;
 import org.acaciamux.internal.protocol.wire.Frame.BodyCase;
 import org.acaciamux.internal.state.record.PoolSpec;
 import org.acaciamux.internal.transport.http.BackendClient;
@@ -119,6 +120,11 @@
 				+ " unsent, " + progress.transfers() + " cache transfers, oldest " + progress.oldestMs() + " ms");
 	}
 
+	@Override
+	public FleetReport workReport() {
+		return WorkReport.ofAgent(this.core, this.pool, this.service);
+	}
+
 	@Override
 	public void dump(ObjectNode dump) {
 		dump.set("agent", this.service.dump());
--- a/server/src/main/java/org/acaciamux/internal/process/NodeStarter.java
+++ b/server/src/main/java/org/acaciamux/internal/process/NodeStarter.java
@@ -74,6 +74,7 @@
 
 	private static Either<StartFailure, Node> bindAdmin(ProcessCore core, ConfigurationSync configuration,
 			RoleRuntime role, int peerPort) {
+		configuration.reportWork(role::workReport);
 		ProcessNode node = new ProcessNode(core, configuration, role, peerPort);
 		AdminServer admin = new AdminServer(core.group, node);
 		ChannelFuture bound = admin.bind(core.settings.admin().toSocketAddress()).awaitUninterruptibly();
--- a/server/src/main/java/org/acaciamux/internal/process/RoleRuntime.java
+++ b/server/src/main/java/org/acaciamux/internal/process/RoleRuntime.java
@@ -5,6 +5,8 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
+import org.acaciamux.internal.protocol.wire.FleetReport;
+
 /**
  * The part of a process that depends on its role. Implementations are thread-safe.
  */
@@ -33,6 +35,12 @@
 	 */
 	List<String> waitingFor();
 
+	/**
+	 * Return what the fleet status shall show of this process.
+	 * @return the report
+	 */
+	FleetReport workReport();
+
 	/**
 	 * Add the role's state to a dump.
 	 * @param dump the dump
--- a/server/src/main/java/org/acaciamux/internal/process/RouterRuntime.java
+++ b/server/src/main/java/org/acaciamux/internal/process/RouterRuntime.java
@@ -15,6 +15,7 @@
 import org.acaciamux.internal.coordination.routing.RequestRouter;
 import org.acaciamux.internal.coordination.routing.RouterContext;
 import org.acaciamux.internal.coordination.routing.RouterSettings;
+import org.acaciamux.internal.protocol.wire.FleetReport;
 import org.acaciamux.internal.protocol.wire.Frame.BodyCase;
 import org.acaciamux.internal.transport.http.HttpFront;
 import org.acaciamux.internal.transport.http.HttpLimits;
@@ -34,6 +35,8 @@
 
 	private static final long BUFFERED_BYTES = 256L << 20;
 
+	private final ProcessCore core;
+
 	private final RequestRouter router;
 
 	private final HttpFront front;
@@ -45,6 +48,7 @@
 	RouterRuntime(ProcessCore core, PartitionOwners owners, BooleanSupplier configured) {
 		RouterContext context = new RouterContext(core.records, core.members, core.members, new RendezvousChooser(),
 				owners, core.peerClient, configured);
+		this.core = core;
 		this.configured = configured;
 		this.router = new RequestRouter(context, RouterSettings.defaults(), core.incarnation, core.clock,
 				core.newRandom(), core.registry);
@@ -89,6 +93,11 @@
 		return waiting;
 	}
 
+	@Override
+	public FleetReport workReport() {
+		return WorkReport.ofRouter(this.core);
+	}
+
 	@Override
 	public void dump(ObjectNode dump) {
 		dump.set("router", this.router.dump());
