--- a/server/src/main/java/org/acaciamux/internal/coordination/claim/ClaimLedger.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/claim/ClaimLedger.java
@@ -19,10 +19,12 @@
 import org.acaciamux.internal.coordination.claim.KeyState.Phase;
 import org.acaciamux.internal.coordination.claim.KeyState.Waiter;
 import org.acaciamux.internal.coordination.claim.PartitionTake.Expected;
+import org.acaciamux.internal.coordination.platform.GuardedStore;
 import org.acaciamux.internal.coordination.platform.ObjectStore;
 import org.acaciamux.internal.coordination.platform.StoreFailure;
 import org.acaciamux.internal.coordination.platform.StoredObject;
 import org.acaciamux.internal.event.EventLog;
+import org.acaciamux.internal.state.LockRank;
 import org.acaciamux.internal.state.record.PoolSpec;
 import org.acaciamux.internal.state.record.RecordView;
 
@@ -62,8 +64,8 @@
 	 */
 	public ClaimLedger(String pool, String vm, long incarnation, ObjectStore store, RecordView records,
 			EpochClock epochClock, NanoClock nanoClock, ClaimSettings settings, MetricRegistry metrics) {
-		this.context = new PartitionContext(new GuardedStore(store), pool, vm, incarnation, epochClock, nanoClock,
-				settings, ClaimMetrics.in(metrics));
+		this.context = new PartitionContext(new GuardedStore(store, LockRank.CLAIM_TABLE), pool, vm, incarnation,
+				epochClock, nanoClock, settings, ClaimMetrics.in(metrics));
 		this.records = records;
 		this.answers = new AnswerStore(settings);
 		this.spec = PoolSpec.plainDefaults(pool);
--- a/server/src/main/java/org/acaciamux/internal/coordination/claim/PartitionContext.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/claim/PartitionContext.java
@@ -1,8 +1,16 @@
 package org.acaciamux.internal.coordination.claim;
 
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+
+import com.fasterxml.jackson.databind.JsonNode;
 import org.agrona.concurrent.EpochClock;
 import org.agrona.concurrent.NanoClock;
 
+import org.acaciamux.internal.coordination.platform.CertainWrite;
+import org.acaciamux.internal.coordination.platform.GuardedStore;
+import org.acaciamux.internal.event.EventLog;
+
 /**
  * What the partitions of one agent share. Thread-safe.
  *
@@ -18,6 +26,13 @@
 record PartitionContext(GuardedStore store, String pool, String vm, long incarnation, EpochClock epochClock,
 		NanoClock nanoClock, ClaimSettings settings, ClaimMetrics metrics) {
 
+	CertainWrite write(String kind, String name, long ifVersion, JsonNode value, Predicate<JsonNode> mine,
+			Consumer<CertainWrite.Result> then) {
+		CertainWrite.Target target = new CertainWrite.Target(kind, name, ifVersion);
+		return new CertainWrite(this.store, this.nanoClock, target, value, mine,
+				(failure) -> EventLog.log(ClaimEvent.WRITE_UNCERTAIN, target, failure.detail()), then);
+	}
+
 	long nowMs() {
 		return this.epochClock.time();
 	}
--- a/server/src/main/java/org/acaciamux/internal/coordination/claim/PartitionLog.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/claim/PartitionLog.java
@@ -7,9 +7,10 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
-import org.acaciamux.internal.coordination.claim.CertainWrite.Result;
 import org.acaciamux.internal.coordination.claim.PartitionTake.SegmentInfo;
 import org.acaciamux.internal.coordination.claim.PartitionTake.Taken;
+import org.acaciamux.internal.coordination.platform.CertainWrite;
+import org.acaciamux.internal.coordination.platform.CertainWrite.Result;
 import org.acaciamux.internal.event.EventLog;
 
 /**
@@ -86,9 +87,8 @@
 
 	private void writeSegment(ClaimSegment next, Consumer<Ended> then) {
 		String object = ClaimSegment.name(this.name, this.openSequence);
-		CertainWrite.Target target = new CertainWrite.Target(ClaimSegment.KIND, object, this.openVersion);
 		this.context.metrics().writes().mark();
-		start(new CertainWrite(this.context.store(), this.context.nanoClock(), target, next.toJson(),
+		start(this.context.write(ClaimSegment.KIND, object, this.openVersion, next.toJson(),
 				(json) -> ClaimSegment.batchOf(json).equals(next.batch()), (result) -> {
 					this.write = null;
 					if (result instanceof Result.Written written) {
@@ -163,8 +163,7 @@
 	private void writeRecord(PartitionRecord next, Consumer<Ended> then) {
 		String id = writeId();
 		PartitionRecord value = next.withWrite(id);
-		CertainWrite.Target target = new CertainWrite.Target(PartitionRecord.KIND, this.name, this.version);
-		start(new CertainWrite(this.context.store(), this.context.nanoClock(), target, value.toJson(),
+		start(this.context.write(PartitionRecord.KIND, this.name, this.version, value.toJson(),
 				(json) -> PartitionRecord.writeOf(json).equals(id), (result) -> {
 					this.write = null;
 					if (result instanceof Result.Written written) {
--- a/server/src/main/java/org/acaciamux/internal/coordination/claim/PartitionTake.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/claim/PartitionTake.java
@@ -9,7 +9,8 @@
 
 import io.vavr.control.Either;
 
-import org.acaciamux.internal.coordination.claim.CertainWrite.Result;
+import org.acaciamux.internal.coordination.platform.CertainWrite;
+import org.acaciamux.internal.coordination.platform.CertainWrite.Result;
 import org.acaciamux.internal.coordination.platform.StoreFailure;
 import org.acaciamux.internal.coordination.platform.StoreFailure.Kind;
 import org.acaciamux.internal.coordination.platform.StoredObject;
@@ -117,8 +118,7 @@
 		String id = "take:" + Long.toHexString(this.context.incarnation()) + ":" + this.version + ":"
 				+ this.writeCount++;
 		PartitionRecord value = next.withWrite(id);
-		CertainWrite.Target target = new CertainWrite.Target(PartitionRecord.KIND, this.name, this.version);
-		this.write = new CertainWrite(this.context.store(), this.context.nanoClock(), target, value.toJson(),
+		this.write = this.context.write(PartitionRecord.KIND, this.name, this.version, value.toJson(),
 				(json) -> PartitionRecord.writeOf(json).equals(id), (result) -> {
 					if (result instanceof Result.Written written) {
 						this.record = value;
@@ -148,8 +148,7 @@
 		}
 		ClaimSegment sealed = ClaimSegment.parse(result.get().value()).orElseThrow().seal();
 		String segment = ClaimSegment.name(this.name, sequence);
-		CertainWrite.Target target = new CertainWrite.Target(ClaimSegment.KIND, segment, result.get().version());
-		this.write = new CertainWrite(this.context.store(), this.context.nanoClock(), target, sealed.toJson(),
+		this.write = this.context.write(ClaimSegment.KIND, segment, result.get().version(), sealed.toJson(),
 				(json) -> json.path("sealed").asBoolean(), (written) -> sealWritten(sequence, written));
 		this.write.start();
 	}
@@ -218,9 +217,7 @@
 	// Return the write that creates a segment.
 	static CertainWrite segmentCreation(PartitionContext context, String partition, long sequence, ClaimSegment segment,
 			Consumer<Result> then) {
-		CertainWrite.Target target = new CertainWrite.Target(ClaimSegment.KIND, ClaimSegment.name(partition, sequence),
-				0);
-		return new CertainWrite(context.store(), context.nanoClock(), target, segment.toJson(),
+		return context.write(ClaimSegment.KIND, ClaimSegment.name(partition, sequence), 0, segment.toJson(),
 				(json) -> ClaimSegment.batchOf(json).equals(segment.batch()), then);
 	}
 
--- a/server/src/main/java/org/acaciamux/internal/coordination/claim/CertainWrite.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/platform/CertainWrite.java
@@ -1,4 +1,4 @@
-package org.acaciamux.internal.coordination.claim;
+package org.acaciamux.internal.coordination.platform;
 
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -9,10 +9,7 @@
 import io.vavr.control.Either;
 import org.agrona.concurrent.NanoClock;
 
-import org.acaciamux.internal.coordination.platform.StoreFailure;
 import org.acaciamux.internal.coordination.platform.StoreFailure.Kind;
-import org.acaciamux.internal.coordination.platform.StoredObject;
-import org.acaciamux.internal.event.EventLog;
 
 /**
  * One conditional write that is carried on until its effect is known. A write without an
@@ -22,7 +19,7 @@
  * {@link Result.NotWritten} only if no attempt took or can take effect. Guarded by the
  * lock of its {@link GuardedStore}.
  */
-final class CertainWrite {
+public final class CertainWrite {
 
 	private static final long FIRST_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
@@ -38,6 +35,8 @@
 
 	private final Predicate<JsonNode> mine;
 
+	private final Consumer<StoreFailure> onUncertain;
+
 	private final Consumer<Result> then;
 
 	private boolean uncertain;
@@ -48,11 +47,19 @@
 
 	private long pauseNanos = FIRST_PAUSE_NANOS;
 
-	// Create a write; start() sends it.
-	// mine: tells from an object's value whether this write is part of it
-	// then: receives the result
-	CertainWrite(GuardedStore store, NanoClock clock, Target target, JsonNode value, Predicate<JsonNode> mine,
-			Consumer<Result> then) {
+	/**
+	 * Create a write; {@link #start()} sends it.
+	 * @param store the store
+	 * @param clock the monotonic clock
+	 * @param target what to write
+	 * @param value the value
+	 * @param mine tells from an object's value whether this write is part of it
+	 * @param onUncertain is told each time an answer was lost
+	 * @param then receives the result
+	 */
+	public CertainWrite(GuardedStore store, NanoClock clock, Target target, JsonNode value, Predicate<JsonNode> mine,
+			Consumer<StoreFailure> onUncertain, Consumer<Result> then) {
+		this.onUncertain = onUncertain;
 		this.store = store;
 		this.clock = clock;
 		this.target = target;
@@ -61,22 +68,28 @@
 		this.then = then;
 	}
 
-	void start() {
+	/**
+	 * Send the write.
+	 */
+	public void start() {
 		this.store.put(this.target.kind, this.target.name, this.target.ifVersion, this.value, this::written);
 	}
 
 	/**
 	 * Go on after a pause.
 	 */
-	void tick() {
+	public void tick() {
 		if (this.waiting && this.clock.nanoTime() - this.retryAt >= 0) {
 			this.waiting = false;
 			this.store.get(this.target.kind, this.target.name, this::read);
 		}
 	}
 
-	// Return whether an earlier attempt may still take effect.
-	boolean uncertain() {
+	/**
+	 * Return whether an earlier attempt may still take effect.
+	 * @return whether an answer was lost
+	 */
+	public boolean uncertain() {
 		return this.uncertain;
 	}
 
@@ -90,7 +103,7 @@
 			changed(failure.current());
 		}
 		else if (failure.kind() == Kind.NO_ANSWER) {
-			EventLog.log(ClaimEvent.WRITE_UNCERTAIN, this.target, failure.detail());
+			this.onUncertain.accept(failure);
 			this.uncertain = true;
 			this.store.get(this.target.kind, this.target.name, this::read);
 		}
@@ -133,7 +146,7 @@
 	 * @param name the name
 	 * @param ifVersion the expected version, 0 to create
 	 */
-	record Target(String kind, String name, long ifVersion) {
+	public record Target(String kind, String name, long ifVersion) {
 
 		@Override
 		public String toString() {
@@ -145,7 +158,7 @@
 	/**
 	 * Result of a write.
 	 */
-	sealed interface Result {
+	public sealed interface Result {
 
 		/**
 		 * The write took effect.
--- a/server/src/main/java/org/acaciamux/internal/transport/http/PlatformHttpClient.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/PlatformHttpClient.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
@@ -89,7 +90,23 @@
 	 * @return the reply; never completes exceptionally
 	 */
 	public CompletionStage<Reply> call(HttpMethod method, String uri, byte[] body, long timeoutMs) {
-		Call call = new Call(request(method, uri, body), timeoutMs, new CompletableFuture<>());
+		return call(method, uri, body, timeoutMs, () -> true);
+	}
+
+	/**
+	 * Make a call that may have become void until its connection is there.
+	 * @param method the HTTP method
+	 * @param uri path and query
+	 * @param body the body, empty for none
+	 * @param timeoutMs time from the start of sending to the complete response, at least
+	 * 1 millisecond
+	 * @param stillWanted asked directly before the first byte is written
+	 * @return the reply, {@link Reply.NotSent} if the call was not wanted any more; never
+	 * completes exceptionally
+	 */
+	public CompletionStage<Reply> call(HttpMethod method, String uri, byte[] body, long timeoutMs,
+			BooleanSupplier stillWanted) {
+		Call call = new Call(request(method, uri, body), timeoutMs, stillWanted, new CompletableFuture<>());
 		Channel channel = pollIdle();
 		if (channel != null) {
 			send(channel, call);
@@ -148,6 +165,11 @@
 				connect(call);
 				return;
 			}
+			if (!call.stillWanted.getAsBoolean()) {
+				release(channel);
+				call.notSent("the call was not wanted any more");
+				return;
+			}
 			channel.pipeline().get(Exchange.class).start(call);
 		});
 	}
@@ -204,7 +226,8 @@
 
 	}
 
-	private record Call(FullHttpRequest request, long timeoutMs, CompletableFuture<Reply> reply) {
+	private record Call(FullHttpRequest request, long timeoutMs, BooleanSupplier stillWanted,
+			CompletableFuture<Reply> reply) {
 
 		void notSent(String detail) {
 			this.request.release();
