--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/coordination/membership/ExchangeParts.java
@@ -0,0 +1,22 @@
+package org.acaciamux.internal.coordination.membership;
+
+import java.util.concurrent.Executor;
+import java.util.random.RandomGenerator;
+
+import com.codahale.metrics.MetricRegistry;
+import org.agrona.concurrent.NanoClock;
+
+import org.acaciamux.internal.protocol.PeerLinks;
+
+/**
+ * What the load exchange and the pool views work with. Immutable and thread-safe.
+ *
+ * @param links links to other processes
+ * @param clock the monotonic clock
+ * @param random used by one task at a time
+ * @param metrics takes the metrics
+ * @param executor runs the work, one task at a time, on threads that hold no lock
+ */
+public record ExchangeParts(PeerLinks links, NanoClock clock, RandomGenerator random, MetricRegistry metrics,
+		Executor executor) {
+}
--- a/server/src/main/java/org/acaciamux/internal/coordination/membership/MemberHealth.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/membership/MemberHealth.java
@@ -137,6 +137,10 @@
 		return this.vm;
 	}
 
+	long incarnation() {
+		return this.incarnation;
+	}
+
 	boolean listed() {
 		return this.listed;
 	}
--- a/server/src/main/java/org/acaciamux/internal/coordination/membership/MemberTable.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/membership/MemberTable.java
@@ -62,11 +62,7 @@
 
 	private final Counter losses;
 
-	private volatile boolean networkLost;
-
-	private long networkLostAtMs;
-
-	private long attributedAtMs = MemberHealth.NEVER;
+	private final OwnNetwork network;
 
 	/**
 	 * Create an empty table.
@@ -80,12 +76,13 @@
 		this.settings = settings;
 		this.clock = clock;
 		this.history = new LossHistory(settings);
+		this.network = new OwnNetwork(settings);
 		this.losses = metrics.counter("acaciamux.membership.losses");
 		for (MemberState state : MemberState.values()) {
 			String name = "acaciamux.membership.members." + state.name().toLowerCase(Locale.ROOT);
 			metrics.gauge(name, () -> (Gauge<Integer>) () -> count(state));
 		}
-		metrics.gauge("acaciamux.membership.ownNetworkLost", () -> (Gauge<Integer>) () -> this.networkLost ? 1 : 0);
+		metrics.gauge("acaciamux.membership.ownNetworkLost", () -> (Gauge<Integer>) () -> this.network.lost() ? 1 : 0);
 		metrics.gauge("acaciamux.membership.pastMembers",
 				() -> (Gauge<Integer>) () -> this.lock.get(this.history::size));
 	}
@@ -182,7 +179,7 @@
 		known.lost(now);
 		judgeOwnNetwork(now);
 		boolean usable = known.state() == MemberState.LIVE || known.state() == MemberState.JOINING;
-		if (this.networkLost || !usable) {
+		if (this.network.lost() || !usable) {
 			return;
 		}
 		if (known.state() == MemberState.LIVE) {
@@ -204,6 +201,19 @@
 		withMember(id, (known, now) -> known.sayLeaving());
 	}
 
+	/**
+	 * One incarnation of the member is known to leave; another one need not.
+	 * @param id the VM's id
+	 * @param incarnation the incarnation of its process
+	 */
+	public void leaving(String id, long incarnation) {
+		withMember(id, (known, now) -> {
+			if (known.incarnation() == incarnation) {
+				known.sayLeaving();
+			}
+		});
+	}
+
 	/**
 	 * A view of a pool was received from another process: members that it shows with old
 	 * heartbeats may be suspected. Without any view nobody is suspected for silence.
@@ -233,7 +243,7 @@
 		if (silent && known.state() == MemberState.LIVE) {
 			lose(known, now);
 		}
-		if (this.networkLost) {
+		if (this.network.lost()) {
 			return;
 		}
 		if (!known.listed() && now - known.lastSignMs() >= this.settings.unlistedAfterMs()) {
@@ -285,48 +295,22 @@
 			.stream()
 			.filter((known) -> Member.AGENT.equals(known.vm().role()) && !known.vm().id().equals(this.self))
 			.toList();
-		NetworkLoss.Verdict verdict = NetworkLoss.judge(agents, now, this.settings.lossWindowMs());
-		if (!this.networkLost && verdict.ownNetworkLost() && !recentlyAttributed(now)) {
-			loseNetwork(agents, verdict, now);
-		}
-		else if (this.networkLost) {
-			considerReturn(agents, verdict, now);
-		}
-	}
-
-	private boolean recentlyAttributed(long now) {
-		return now - this.attributedAtMs <= 2 * this.settings.lossWindowMs();
-	}
-
-	private void loseNetwork(Collection<MemberHealth> agents, NetworkLoss.Verdict verdict, long now) {
-		this.networkLost = true;
-		this.networkLostAtMs = now;
-		EventLog.log(MembershipEvent.OWN_NETWORK_LOST, verdict.dark());
-		for (MemberHealth agent : agents) {
-			boolean fresh = now - agent.sinceMs() <= this.settings.lossWindowMs();
-			if (agent.state() == MemberState.SUSPECT && fresh) {
-				this.history.undo(agent.vm().id());
-				enter(agent, agent.beforeLoss(), now);
+		switch (this.network.judge(agents, now)) {
+			case LOST -> agents.forEach((agent) -> takeBackSuspicion(agent, now));
+			case BACK -> agents.forEach((agent) -> agent.excuseLoss(now));
+			case OTHERS_FAILED -> agents.stream()
+				.filter((agent) -> agent.lostFromUse(now - this.settings.lossWindowMs()))
+				.forEach((agent) -> enter(agent, MemberState.SUSPECT, now));
+			default -> {
 			}
 		}
 	}
 
-	private void considerReturn(Collection<MemberHealth> agents, NetworkLoss.Verdict verdict, long now) {
-		long lostForMs = now - this.networkLostAtMs;
-		boolean answered = verdict.lit() > 0;
-		if (answered && !verdict.ownNetworkLost()) {
-			this.networkLost = false;
-			EventLog.log(MembershipEvent.OWN_NETWORK_BACK, lostForMs, "members answer again");
-			agents.forEach((agent) -> agent.excuseLoss(now));
-		}
-		else if (answered && lostForMs >= this.settings.lossMaxMs()) {
-			this.networkLost = false;
-			this.attributedAtMs = now;
-			agents.stream()
-				.filter((agent) -> agent.lostFromUse(now - this.settings.lossWindowMs()))
-				.forEach((agent) -> enter(agent, MemberState.SUSPECT, now));
-			EventLog.log(MembershipEvent.OWN_NETWORK_BACK, lostForMs,
-					"one failure domain answers throughout, so the silent ones have failed");
+	private void takeBackSuspicion(MemberHealth agent, long now) {
+		boolean fresh = now - agent.sinceMs() <= this.settings.lossWindowMs();
+		if (agent.state() == MemberState.SUSPECT && fresh) {
+			this.history.undo(agent.vm().id());
+			enter(agent, agent.beforeLoss(), now);
 		}
 	}
 
@@ -392,7 +376,7 @@
 
 	@Override
 	public boolean ownNetworkLost() {
-		return this.networkLost;
+		return this.network.lost();
 	}
 
 	private long now() {
@@ -409,7 +393,7 @@
 	 */
 	public ObjectNode dump() {
 		ObjectNode dump = JsonNodeFactory.instance.objectNode();
-		dump.put("ownNetworkLost", this.networkLost);
+		dump.put("ownNetworkLost", this.network.lost());
 		ObjectNode all = dump.putObject("members");
 		new TreeMap<>(this.members).forEach((id, member) -> all.putObject(id)
 			.put("state", member.state().name())
