--- a/server/src/main/java/org/acaciamux/internal/cli/SafeWriter.java
+++ b/server/src/main/java/org/acaciamux/internal/cli/SafeWriter.java
@@ -14,8 +14,9 @@
  * Invariants: success is reported only if the platform holds or held the written state; a
  * failure other than {@link Kind#NO_ANSWER} is reported only if this write has not taken
  * effect, or a newer version replaced it. Repeating a write after a lost answer is safe
- * because both attempts expect the same version and at most one of them can match it.
- * Thread-safe.
+ * because both attempts expect the same version and at most one of them can match it. The
+ * exception is a creation: if another operator deletes the new record between the two
+ * attempts, the second one creates it again. Thread-safe.
  */
 final class SafeWriter {
 
