Wait for the event loops before judging what the front has done

Cause: two mutations of the front passed its tests. Bytes counted as taken when written, and requests sent ahead handed over at once, were judged before the event loop had come to them.

Change: the two tests hand an empty task to each event loop and wait for it, so that all steps given before are done; no time is measured.

--- a/server/src/test/java/org/acaciamux/internal/transport/http/HttpFrontTests.java
+++ b/server/src/test/java/org/acaciamux/internal/transport/http/HttpFrontTests.java
@@ -135,6 +135,7 @@
 			}
 			call.sink.end();
 			caller.readUntil("\r\n\r\n");
+			awaitLoops();
 			assertTrue(call.consumed.get() < (64 << 20), "the socket cannot hold 64 MiB");
 			caller.readUntil("0\r\n\r\n");
 			assertEquals(call.consumed.get(), 64 << 20);
@@ -186,6 +187,7 @@
 		try (HttpCaller caller = new HttpCaller(this.address)) {
 			caller.send(GET + GET);
 			Call first = nextCall();
+			awaitLoops();
 			assertTrue(this.calls.isEmpty());
 			first.sink.fail(Failure.notRun(FailureCode.NO_BACKEND, "one", 0), "id-1");
 			nextCall().sink.fail(Failure.notRun(FailureCode.NO_BACKEND, "two", 0), "id-2");
@@ -245,6 +247,14 @@
 		return call;
 	}
 
+	/**
+	 * Wait until the event loops have done everything that was handed to them before.
+	 */
+	private void awaitLoops() {
+		this.loops.forEach((loop) -> loop.submit(() -> {
+		}).awaitUninterruptibly());
+	}
+
 	private Call nextCall() throws InterruptedException {
 		Call call = this.calls.poll(20, TimeUnit.SECONDS);
 		assertNotNull(call, "no request arrived");
