Run the load exchange, pool views and orders in the daemon

Cause: agents took themselves for the only member of their pool, so the load bound never bound; routers saw loads only in responses; no agent gave orders. Ruled out: routers taking views of all pools; at 28 pools that alone is about 7 KB a second. Change: LoadExchange feeds admission, PoolViews feeds routers for the pools they use, OrderController runs beside each engine; an agent that is told that its VM leaves drains by itself; the fleet status is refreshed every 4 s, because 10 s equalled the limit from which it counts as stale; event 3009 no longer advises to delete the object. Before: PoolLoad(1, 0, 0) at every agent.

--- a/server/src/main/java/org/acaciamux/internal/coordination/claim/ClaimEvent.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/claim/ClaimEvent.java
@@ -30,7 +30,8 @@
 	PARTITION_COUNT_IGNORED(3008, Level.WARNING,
 			"pool=%s wanted=%d inForce=%d; the number is fixed when a pool takes its first keyed call"),
 	/** An object of the ledger can't be read. */
-	OBJECT_INVALID(3009, Level.SEVERE, "object=%s; the partition is not served, correct or delete the object");
+	OBJECT_INVALID(3009, Level.SEVERE,
+			"object=%s; the partition is not served; correct the object but never delete it, because its claims would be forgotten");
 
 	private final int number;
 
--- a/server/src/main/java/org/acaciamux/internal/coordination/configuration/FleetStatusWriter.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/configuration/FleetStatusWriter.java
@@ -23,7 +23,7 @@
 	static final String KIND = "FleetStatus";
 
 	/** Time after which an unchanged status is written again, as a sign of life. */
-	private static final long REFRESH_MS = 10_000;
+	private static final long REFRESH_MS = 4_000;
 
 	private static final long UNKNOWN = -1;
 
--- a/server/src/main/java/org/acaciamux/internal/process/AgentRuntime.java
+++ b/server/src/main/java/org/acaciamux/internal/process/AgentRuntime.java
@@ -12,15 +12,22 @@
 import org.acaciamux.internal.coordination.claim.ClaimSettings;
 import org.acaciamux.internal.coordination.claim.OwnershipSettings;
 import org.acaciamux.internal.coordination.claim.PartitionOwnership;
+import org.acaciamux.internal.coordination.membership.ExchangeSettings;
+import org.acaciamux.internal.coordination.membership.LoadExchange;
 import org.acaciamux.internal.coordination.membership.Member;
-import org.acaciamux.internal.coordination.membership.PoolLoadView;
+import org.acaciamux.internal.coordination.membership.PoolLoadView.PoolLoad;
+import org.acaciamux.internal.coordination.order.HttpBackendOrders;
+import org.acaciamux.internal.coordination.order.OrderController;
+import org.acaciamux.internal.coordination.order.OrderSettings;
 import org.acaciamux.internal.coordination.quarantine.SuspectTable;
 import org.acaciamux.internal.coordination.routing.RendezvousChooser;
+import org.acaciamux.internal.event.EventLog;
 import org.acaciamux.internal.protocol.wire.FleetReport;
 import org.acaciamux.internal.protocol.wire.Frame.BodyCase;
 import org.acaciamux.internal.state.record.PoolSpec;
 import org.acaciamux.internal.transport.http.BackendClient;
 import org.acaciamux.internal.transport.http.BackendSettings;
+import org.acaciamux.internal.transport.http.PlatformHttpClient;
 import org.acaciamux.settings.AgentSettings;
 
 /**
@@ -30,7 +37,11 @@
 
 	private static final int LEDGER_TICK_MS = 20;
 
-	private static final int OWNERSHIP_TICK_MS = 100;
+	private static final int TICK_MS = 100;
+
+	private static final int CONTROL_CONNECT_TIMEOUT_MS = 1_000;
+
+	private static final int CONTROL_CONNECTIONS = 2;
 
 	private final ProcessCore core;
 
@@ -38,6 +49,12 @@
 
 	private final PartitionOwnership ownership;
 
+	private final LoadExchange exchange;
+
+	private final OrderController orders;
+
+	private final PlatformHttpClient backendControl;
+
 	private final AgentService service;
 
 	private final BackendClient backend;
@@ -46,7 +63,7 @@
 
 	private final String pool;
 
-	AgentRuntime(ProcessCore core, PoolLoadView loads) {
+	AgentRuntime(ProcessCore core, int peerPort) {
 		this.core = core;
 		AgentSettings settings = core.settings.agent().orElseThrow();
 		this.pool = settings.pool();
@@ -59,16 +76,39 @@
 				new ChatTransfers(core, this.chooser));
 		this.ledger = new ClaimLedger(this.pool, core.settings.id(), core.incarnation, core.store, core.records,
 				core.epochClock, core.clock, ClaimSettings.defaults(), core.registry);
-		this.service = new AgentService(identity, core.records, loads, server, Optional.of(this.ledger), suspects,
-				core.clock, core.registry);
+		this.service = new AgentService(identity, core.records, this::poolLoad, server, Optional.of(this.ledger),
+				suspects, core.clock, core.registry);
+		this.exchange = new LoadExchange(core.self(peerPort), core.incarnation, ExchangeSettings.defaults(),
+				this.service, core.members, core.exchangeParts());
 		this.ownership = new PartitionOwnership(this.pool, core.settings.id(), core.incarnation, this.ledger,
 				core.records, core.members, () -> !this.service.backendDown(), core.clock, core.newRandom(),
 				OwnershipSettings.defaults());
+		this.backendControl = new PlatformHttpClient(core.group, settings.backend().toSocketAddress(),
+				CONTROL_CONNECT_TIMEOUT_MS, CONTROL_CONNECTIONS);
+		OrderSettings orderSettings = OrderSettings.defaults();
+		this.orders = new OrderController(this.pool, core.settings.region(), core.settings.id(), core.incarnation,
+				core.store, new HttpBackendOrders(this.backendControl, orderSettings.loadMs()), core.records,
+				() -> poolLoad().members(), core.clock, core.newRandom(), orderSettings, core.registry);
+		core.dispatcher.add(this.exchange, BodyCase.LOAD_EXCHANGE, BodyCase.POOL_VIEW_REQUEST);
 		core.dispatcher.add(this.service, BodyCase.SUBMIT, BodyCase.CREDIT, BodyCase.CANCEL, BodyCase.RESUME,
 				BodyCase.RESOLVE, BodyCase.KV_OFFER);
 		core.workers.every(this.service::tick, AgentService.TICK_MS);
 		core.workers.every(this.ledger::tick, LEDGER_TICK_MS);
-		core.workers.every(this.ownership::tick, OWNERSHIP_TICK_MS);
+		core.workers.every(this::tick, TICK_MS);
+	}
+
+	private void tick() {
+		this.exchange.tick();
+		this.ownership.tick();
+		this.orders.tick();
+		if (this.exchange.toldLeaving() && !this.service.leaving()) {
+			EventLog.log(ProcessEvent.TOLD_LEAVING);
+			beginDrain();
+		}
+	}
+
+	private PoolLoad poolLoad() {
+		return this.exchange.poolLoad();
 	}
 
 	AgentService service() {
@@ -97,6 +137,9 @@
 		if (this.core.records.pool(this.pool).isEmpty()) {
 			return Optional.of("no record of pool " + this.pool + " is in force");
 		}
+		if (this.service.leaving()) {
+			return Optional.of("the agent leaves");
+		}
 		return this.service.backendDown() ? Optional.of("the backend server is down") : Optional.empty();
 	}
 
@@ -104,6 +147,7 @@
 	public void beginDrain() {
 		this.service.drain();
 		this.ownership.drain();
+		this.orders.drain();
 	}
 
 	@Override
@@ -130,11 +174,14 @@
 		dump.set("agent", this.service.dump());
 		dump.set("claims", this.ledger.dump());
 		dump.set("partitionOwnership", this.ownership.dump());
+		dump.set("loadExchange", this.exchange.dump());
+		dump.set("orders", this.orders.dump());
 	}
 
 	@Override
 	public void close() {
 		this.backend.close();
+		this.backendControl.close();
 	}
 
 }
--- a/server/src/main/java/org/acaciamux/internal/process/NodeStarter.java
+++ b/server/src/main/java/org/acaciamux/internal/process/NodeStarter.java
@@ -11,7 +11,6 @@
 import org.acaciamux.internal.coordination.configuration.ConfigurationParts;
 import org.acaciamux.internal.coordination.configuration.ConfigurationSettings;
 import org.acaciamux.internal.coordination.configuration.ConfigurationSync;
-import org.acaciamux.internal.coordination.membership.PoolLoadView.PoolLoad;
 import org.acaciamux.internal.protocol.wire.Frame.BodyCase;
 import org.acaciamux.internal.transport.admin.AdminServer;
 import org.acaciamux.settings.Endpoint;
@@ -48,7 +47,7 @@
 
 	private static Either<StartFailure, Node> start(ProcessCore core, int peerPort) {
 		ConfigurationSync configuration = configuration(core, peerPort);
-		return role(core, configuration).flatMap((role) -> bindAdmin(core, configuration, role, peerPort));
+		return role(core, configuration, peerPort).flatMap((role) -> bindAdmin(core, configuration, role, peerPort));
 	}
 
 	private static ConfigurationSync configuration(ProcessCore core, int peerPort) {
@@ -63,9 +62,10 @@
 		return sync;
 	}
 
-	private static Either<StartFailure, RoleRuntime> role(ProcessCore core, ConfigurationSync configuration) {
+	private static Either<StartFailure, RoleRuntime> role(ProcessCore core, ConfigurationSync configuration,
+			int peerPort) {
 		if (core.settings.role() == Role.AGENT) {
-			return Either.right(new AgentRuntime(core, () -> new PoolLoad(1, 0, 0)));
+			return Either.right(new AgentRuntime(core, peerPort));
 		}
 		RouterRuntime role = new RouterRuntime(core, new RecordPartitionOwners(core.records), configuration::ready);
 		Endpoint listen = core.settings.listen().orElseThrow();
--- a/server/src/main/java/org/acaciamux/internal/process/ProcessCore.java
+++ b/server/src/main/java/org/acaciamux/internal/process/ProcessCore.java
@@ -16,6 +16,7 @@
 import org.agrona.concurrent.SystemNanoClock;
 
 import org.acaciamux.internal.BrokenInvariant;
+import org.acaciamux.internal.coordination.membership.ExchangeParts;
 import org.acaciamux.internal.coordination.membership.Member;
 import org.acaciamux.internal.coordination.membership.MemberState;
 import org.acaciamux.internal.coordination.membership.MemberTable;
@@ -121,6 +122,10 @@
 				this.settings.region(), this.settings.failureDomain(), pool, MemberState.LIVE, 0);
 	}
 
+	ExchangeParts exchangeParts() {
+		return new ExchangeParts(this.peerClient, this.clock, newRandom(), this.registry, this.workers::execute);
+	}
+
 	long nowMs() {
 		return TimeUnit.NANOSECONDS.toMillis(this.clock.nanoTime());
 	}
--- a/server/src/main/java/org/acaciamux/internal/process/ProcessEvent.java
+++ b/server/src/main/java/org/acaciamux/internal/process/ProcessEvent.java
@@ -40,7 +40,10 @@
 	TASK_FAILED(7009, Level.SEVERE, "a task failed unexpectedly: %s"),
 
 	/** The process is no longer ready. */
-	NOT_READY(7010, Level.WARNING, "not ready: %s");
+	NOT_READY(7010, Level.WARNING, "not ready: %s"),
+
+	/** The VM list or another agent says that this VM leaves. */
+	TOLD_LEAVING(7011, Level.INFO, "this VM leaves according to the VM list or another agent; draining");
 
 	private final int number;
 
--- a/server/src/main/java/org/acaciamux/internal/process/RouterRuntime.java
+++ b/server/src/main/java/org/acaciamux/internal/process/RouterRuntime.java
@@ -11,6 +11,8 @@
 import io.vavr.control.Either;
 
 import org.acaciamux.internal.coordination.claim.PartitionOwners;
+import org.acaciamux.internal.coordination.membership.ExchangeSettings;
+import org.acaciamux.internal.coordination.membership.PoolViews;
 import org.acaciamux.internal.coordination.routing.RendezvousChooser;
 import org.acaciamux.internal.coordination.routing.RequestRouter;
 import org.acaciamux.internal.coordination.routing.RouterContext;
@@ -29,6 +31,8 @@
 
 	private static final int TICK_MS = 50;
 
+	private static final int VIEW_TICK_MS = 100;
+
 	private static final int REQUEST_LINE_BYTES = 8_192;
 
 	private static final int IDLE_CONNECTION_MS = 75_000;
@@ -37,6 +41,8 @@
 
 	private final ProcessCore core;
 
+	private final PoolViews views;
+
 	private final RequestRouter router;
 
 	private final HttpFront front;
@@ -46,8 +52,9 @@
 	private volatile int httpPort;
 
 	RouterRuntime(ProcessCore core, PartitionOwners owners, BooleanSupplier configured) {
-		RouterContext context = new RouterContext(core.records, core.members, core.members, new RendezvousChooser(),
-				owners, core.peerClient, configured);
+		this.views = new PoolViews(ExchangeSettings.defaults(), core.members, core.exchangeParts());
+		RouterContext context = new RouterContext(core.records, core.members, core.members,
+				new ViewedPoolChooser(new RendezvousChooser(), this.views), owners, core.peerClient, configured);
 		this.core = core;
 		this.configured = configured;
 		this.router = new RequestRouter(context, RouterSettings.defaults(), core.incarnation, core.clock,
@@ -55,7 +62,9 @@
 		this.front = new HttpFront(core.group, limits(core.settings.limits()), this.router);
 		core.dispatcher.add(this.router, BodyCase.HEAD, BodyCase.CHUNK, BodyCase.END, BodyCase.REFUSED,
 				BodyCase.RESOLUTION);
+		core.dispatcher.add(this.views, BodyCase.POOL_VIEW);
 		core.workers.every(this.router::tick, TICK_MS);
+		core.workers.every(this.views::tick, VIEW_TICK_MS);
 	}
 
 	private static HttpLimits limits(LimitSettings limits) {
@@ -101,6 +110,7 @@
 	@Override
 	public void dump(ObjectNode dump) {
 		dump.set("router", this.router.dump());
+		dump.set("poolViewAgesMs", this.views.dump());
 	}
 
 	@Override
