Judge the own network at most every 50 ms and skip old news

Each exchanged entry also took the member table's lock three times although most entries told nothing new.

Change: judgements are at least 50 ms apart; the index is rebuilt once per tick; entries without a newer heartbeat or a new leaving flag give no evidence.

--- a/server/src/main/java/org/acaciamux/internal/coordination/membership/LoadEntry.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/membership/LoadEntry.java
@@ -54,7 +54,8 @@
 	/**
 	 * Join with what another agent told about the same agent.
 	 * @param other the other entry
-	 * @return the newer one, with leaving kept
+	 * @return the newer one, with leaving kept; this entry itself if the other tells
+	 * nothing new
 	 */
 	LoadEntry join(LoadEntry other) {
 		if (this.replaced.contains(other.incarnation)) {
@@ -63,6 +64,10 @@
 		if (other.incarnation != this.incarnation) {
 			return (other.heardAtMs > this.heardAtMs) ? other.replacing(this) : this;
 		}
+		boolean news = other.heartbeat > this.heartbeat || (other.has(LEAVING) && !has(LEAVING));
+		if (!news) {
+			return this;
+		}
 		LoadEntry newer = (other.heartbeat > this.heartbeat) ? other : this;
 		int joined = newer.flags | ((this.flags | other.flags) & LEAVING);
 		long heardAt = Math.max(this.heardAtMs, newer.heardAtMs);
--- a/server/src/main/java/org/acaciamux/internal/coordination/membership/LoadExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/membership/LoadExchange.java
@@ -188,14 +188,25 @@
 				aboutMyself(link, entry);
 			}
 			else {
-				boolean present = this.members.find(entry.id()).isPresent();
-				LoadEntry joined = present ? this.entries.merge(entry.id(), entry, LoadEntry::join) : entry;
-				PoolEvidence.give(this.members, joined, now);
+				aboutOther(entry, now);
 			}
 		}
 		this.own.mergeSuspects(message.getSuspectsList());
 	}
 
+	private void aboutOther(LoadEntry told, long now) {
+		if (this.members.find(told.id()).isEmpty()) {
+			PoolEvidence.give(this.members, told, now);
+			return;
+		}
+		LoadEntry held = this.entries.get(told.id());
+		LoadEntry joined = (held != null) ? held.join(told) : told;
+		if (joined != held) {
+			this.entries.put(told.id(), joined);
+			PoolEvidence.give(this.members, joined, now);
+		}
+	}
+
 	private void aboutMyself(PeerLink link, LoadEntry entry) {
 		boolean news = entry.incarnation() == this.incarnation && entry.has(LoadEntry.LEAVING) && !this.own.leaving();
 		if (news && !this.toldLeaving) {
--- a/server/src/main/java/org/acaciamux/internal/coordination/membership/MemberTable.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/membership/MemberTable.java
@@ -40,6 +40,12 @@
  */
 public final class MemberTable implements MembershipView, MembershipEvidence {
 
+	/**
+	 * Shortest time between two judgements about the own network, which look at every
+	 * agent.
+	 */
+	private static final long JUDGE_INTERVAL_MS = 50;
+
 	private final RankedLock lock = new RankedLock(LockRank.MEMBER_TABLE);
 
 	private final String self;
@@ -64,6 +70,8 @@
 
 	private final OwnNetwork network;
 
+	private long judgedAtMs = MemberHealth.NEVER;
+
 	/**
 	 * Create an empty table.
 	 * @param self the id of this process's VM
@@ -177,7 +185,9 @@
 			return;
 		}
 		known.lost(now);
-		judgeOwnNetwork(now);
+		if (now - this.judgedAtMs >= JUDGE_INTERVAL_MS) {
+			judgeOwnNetwork(now);
+		}
 		boolean usable = known.state() == MemberState.LIVE || known.state() == MemberState.JOINING;
 		if (this.network.lost() || !usable) {
 			return;
@@ -229,12 +239,16 @@
 	public void tick() {
 		this.lock.run(() -> {
 			long now = now();
+			int sizeBefore = this.health.size();
 			for (MemberHealth known : List.copyOf(this.health.values())) {
 				if (!known.vm().id().equals(this.self)) {
 					age(known, now);
 				}
 			}
 			judgeOwnNetwork(now);
+			if (this.health.size() != sizeBefore) {
+				rebuildIndex();
+			}
 		});
 	}
 
@@ -287,10 +301,10 @@
 		enter(known, MemberState.GONE, now);
 		this.health.remove(known.vm().id());
 		this.members.remove(known.vm().id());
-		rebuildIndex();
 	}
 
 	private void judgeOwnNetwork(long now) {
+		this.judgedAtMs = now;
 		Collection<MemberHealth> agents = this.health.values()
 			.stream()
 			.filter((known) -> Member.AGENT.equals(known.vm().role()) && !known.vm().id().equals(this.self))
