--- a/examples/src/main/java/org/acaciamux/examples/harness/Fleet.java
+++ b/examples/src/main/java/org/acaciamux/examples/harness/Fleet.java
@@ -35,6 +35,8 @@
 
 	private static final long READY_SECONDS = 60;
 
+	private static final Set<Integer> RETRIED = Set.of(502, 503, 504);
+
 	private static final int MAX_RETRIES = 120;
 
 	private static final long RETRY_PAUSE_MS = 250;
@@ -223,8 +225,8 @@
 	}
 
 	/**
-	 * Send a request and repeat it while it is refused with status 503, as a caller does
-	 * that heeds the retry-after. Keyed calls keep their key.
+	 * Send a request and repeat it while it gets status 502, 503 or 504, as a patient
+	 * caller does. Keyed calls keep their key, so that repeating them is safe.
 	 * @param method the method
 	 * @param router the router
 	 * @param path the path
@@ -234,7 +236,7 @@
 	 */
 	public Answer sendPatiently(String method, Daemon router, String path, String body, Map<String, String> headers) {
 		Answer answer = this.caller.send(method, router.httpPort(), path, body, headers);
-		for (int i = 0; i < MAX_RETRIES && answer.status() == 503; i++) {
+		for (int i = 0; i < MAX_RETRIES && RETRIED.contains(answer.status()); i++) {
 			Polling.pause(RETRY_PAUSE_MS);
 			answer = this.caller.send(method, router.httpPort(), path, body, headers);
 		}
