Make the HTTP client's tests independent of a busy machine

Cause: a probe, a cancel and an idle connection had limits of 1 to 2 s in tests that are not about these limits. Change: those tests use 30 s; only the test of a silent server keeps a short limit.

--- a/server/src/test/java/org/acaciamux/internal/transport/http/BackendClientTests.java
+++ b/server/src/test/java/org/acaciamux/internal/transport/http/BackendClientTests.java
@@ -196,12 +196,19 @@
 			server.readRequest(socket);
 			send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 22\r\n\r\n{\"incarnation\":\"abcd\"}");
 			assertEquals(probe.get(WAIT_S, TimeUnit.SECONDS), new Backend.Health(Backend.Health.State.UP, "abcd"));
-			assertEquals(probe(client).state(), Backend.Health.State.SILENT);
+			assertEquals(probe(client(server.port(), true, 100)).state(), Backend.Health.State.SILENT);
 		}
 	}
 
 	private BackendClient client(int port, boolean model) {
-		return new BackendClient(this.group, BackendSettings.defaults("127.0.0.1", port, model));
+		return client(port, model, WAIT_S * 1_000);
+	}
+
+	// Limits that no test is about are long, so that a busy machine does not reach them.
+	private BackendClient client(int port, boolean model, int probeTimeoutMs) {
+		BackendSettings settings = new BackendSettings("127.0.0.1", port, model, WAIT_S * 1_000, probeTimeoutMs, 64,
+				WAIT_S * 1_000);
+		return new BackendClient(this.group, settings);
 	}
 
 	private static Backend.BackendRequest request(boolean repeatable) {
