--- a/server/src/main/java/org/acaciamux/internal/coordination/membership/LoadExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/membership/LoadExchange.java
@@ -88,7 +88,7 @@
 		this.clock = parts.clock();
 		this.random = parts.random();
 		this.tasks = new SerialTasks(parts.executor(), WAITING_FRAMES);
-		this.traffic = new ControlTraffic(parts.metrics(), "membership");
+		this.traffic = new ControlTraffic(parts.metrics(), "acaciamux.membership.sentBytes");
 		registerMetrics(parts.metrics());
 	}
 
--- a/server/src/main/java/org/acaciamux/internal/coordination/membership/PoolViews.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/membership/PoolViews.java
@@ -70,7 +70,7 @@
 		this.clock = parts.clock();
 		this.random = parts.random();
 		this.tasks = new SerialTasks(parts.executor(), WAITING_FRAMES);
-		this.traffic = new ControlTraffic(parts.metrics(), "membership");
+		this.traffic = new ControlTraffic(parts.metrics(), "acaciamux.membership.sentBytes");
 		this.received = parts.metrics().counter("acaciamux.membership.views");
 	}
 
