List four metrics of the agent that the catalogue's check did not see

Cause: the check reads names behind "metrics." only, and the agent wrote "metrics().", so firstByte, queuedTotal, repeatedIds and crashes were in no list.

--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentMetrics.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentMetrics.java
@@ -28,8 +28,38 @@
 		this.registry.counter(PREFIX + name).inc();
 	}
 
+	void count(Name name) {
+		count(name.text);
+	}
+
+	void time(Name name, long ms) {
+		time(name.text, ms);
+	}
+
 	void time(String name, long ms) {
 		this.registry.timer(PREFIX + name).update(Math.max(0, ms), TimeUnit.MILLISECONDS);
 	}
 
+	/**
+	 * Names of metrics that several parts of the agent record. Immutable and thread-safe.
+	 */
+	enum Name {
+
+		/** Time from the arrival of a request to the status of its response. */
+		FIRST_BYTE("firstByte"),
+		/** Requests that had to wait. */
+		QUEUED("queuedTotal"),
+		/** Requests dropped because their id was seen before. */
+		REPEATED_IDS("repeatedIds"),
+		/** Crashes of the backend server with requests in flight. */
+		CRASHES("crashes");
+
+		private final String text;
+
+		Name(String text) {
+			this.text = text;
+		}
+
+	}
+
 }
--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentService.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentService.java
@@ -103,7 +103,7 @@
 		Optional<Refusal> suspicion = this.gate.enter(request, pool);
 		this.core.act((effects) -> {
 			if (this.core.table().isKnown(submit.getId())) {
-				this.core.metrics().count("repeatedIds");
+				this.core.metrics().count(AgentMetrics.Name.REPEATED_IDS);
 				effects.add(() -> this.gate.leave(request));
 				return;
 			}
@@ -149,7 +149,7 @@
 	private void queued(AgentRequest request) {
 		request.advance(AgentRequest.State.QUEUED);
 		this.core.step(request, "queued behind " + (this.core.admission().queue().size() - 1));
-		this.core.metrics().count("queuedTotal");
+		this.core.metrics().count(AgentMetrics.Name.QUEUED);
 	}
 
 	private void credit(Credit credit) {
--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/BackendMonitor.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/BackendMonitor.java
@@ -73,7 +73,7 @@
 
 	private void report(List<AgentRequest> crashed, List<Runnable> effects) {
 		if (!crashed.isEmpty()) {
-			this.core.metrics().count("crashes");
+			this.core.metrics().count(AgentMetrics.Name.CRASHES);
 			effects.add(() -> this.suspects.crashed(crashed));
 		}
 	}
--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/RequestRunner.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/RequestRunner.java
@@ -193,7 +193,8 @@
 				this.request.progress(this.core.nowMs());
 				if (!this.request.isOver()) {
 					this.core.step(this.request, "status " + status);
-					this.core.metrics().time("firstByte", this.core.nowMs() - this.request.arrivedMs());
+					this.core.metrics()
+						.time(AgentMetrics.Name.FIRST_BYTE, this.core.nowMs() - this.request.arrivedMs());
 					this.request.stream()
 						.head(status, headers, this.core.identity().id(), this.core.admission().load(), false);
 				}
