Leave suspect members out of the mean and wire the last hooks

Cause: a lost member stayed in N with load 0 until it was gone after 60 s. With one of four failure domains lost, 9 of 13 members may carry 1.25 * 9 / 13 = 0.87 of the load that is there, so the limits fall round after round. Ruled out: shorter time until gone (flapping members would move chats); keeping stale loads in M (the bound could be exceeded). Change: N leaves out suspect members unless more than half of the others are suspect, when this agent may be the one that is cut off. Crash suspects are exchanged at once, the designated server is one whose backend server is up, and a writable link continues its responses at once.

--- a/server/src/main/java/org/acaciamux/internal/coordination/membership/LoadExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/membership/LoadExchange.java
@@ -239,10 +239,35 @@
 		this.traffic.send(link, Frame.newBuilder().setPoolView(view).build());
 	}
 
+	/**
+	 * Exchange at the next tick instead of waiting for the interval, because there is
+	 * news that limits damage, such as a crash suspect.
+	 */
+	public void soon() {
+		this.tasks.post(() -> this.nextMs = Long.MIN_VALUE / 2);
+	}
+
+	/**
+	 * Return whether an agent is known to say that its backend server is down.
+	 * @param id the id of the agent's VM
+	 * @return whether the server is down
+	 */
+	public boolean backendDown(String id) {
+		LoadEntry entry = this.entries.get(id);
+		return entry != null && entry.has(LoadEntry.BACKEND_DOWN);
+	}
+
+	/**
+	 * Return the load of the pool. Suspect members do not count, so that the loss of a
+	 * failure domain does not lower the load bound of the others; but when more than half
+	 * of the others are suspect, this agent may be the one that is cut off, and all
+	 * count.
+	 */
 	@Override
 	public PoolLoad poolLoad() {
 		long now = nowMs();
-		int count = 1;
+		int live = 0;
+		int suspect = 0;
 		int load = 0;
 		int healthy = 0;
 		for (Member member : this.members.agents(this.self.pool())) {
@@ -251,13 +276,18 @@
 			if (member.id().equals(this.self.id()) || leaving) {
 				continue;
 			}
-			count++;
-			if (entry != null && now - entry.heardAtMs() < this.settings.loadMaxAgeMs()) {
-				load += entry.load();
-				healthy += (member.state() == MemberState.LIVE && !entry.has(LoadEntry.BACKEND_DOWN)) ? 1 : 0;
+			boolean fresh = entry != null && now - entry.heardAtMs() < this.settings.loadMaxAgeMs();
+			if (member.state() == MemberState.SUSPECT && !fresh) {
+				suspect++;
+				continue;
 			}
+			live++;
+			load += fresh ? entry.load() : 0;
+			boolean up = fresh && member.state() == MemberState.LIVE && !entry.has(LoadEntry.BACKEND_DOWN);
+			healthy += up ? 1 : 0;
 		}
-		return new PoolLoad(count, load, healthy);
+		int counted = (suspect > live) ? live + suspect : live;
+		return new PoolLoad(counted + 1, load, healthy);
 	}
 
 	private long nowMs() {
--- a/server/src/main/java/org/acaciamux/internal/process/AgentRuntime.java
+++ b/server/src/main/java/org/acaciamux/internal/process/AgentRuntime.java
@@ -83,6 +83,7 @@
 		this.ownership = new PartitionOwnership(this.pool, core.settings.id(), core.incarnation, this.ledger,
 				core.records, core.members, () -> !this.service.backendDown(), core.clock, core.newRandom(),
 				OwnershipSettings.defaults());
+		suspects.onNews(this.exchange::soon);
 		this.backendControl = new PlatformHttpClient(core.group, settings.backend().toSocketAddress(),
 				CONTROL_CONNECT_TIMEOUT_MS, CONTROL_CONNECTIONS);
 		OrderSettings orderSettings = OrderSettings.defaults();
@@ -120,7 +121,10 @@
 	}
 
 	private Optional<String> designated(long fingerprint) {
-		List<Member> agents = this.core.members.agents(this.pool);
+		List<Member> agents = this.core.members.agents(this.pool)
+			.stream()
+			.filter((agent) -> !this.exchange.backendDown(agent.id()))
+			.toList();
 		return this.chooser.rank(this.pool, agents, Long.toHexString(fingerprint), 1)
 			.stream()
 			.map(Member::id)
--- a/server/src/main/java/org/acaciamux/internal/process/NodeStarter.java
+++ b/server/src/main/java/org/acaciamux/internal/process/NodeStarter.java
@@ -24,6 +24,8 @@
 
 	private static final int TICK_MS = 100;
 
+	private static final int MEMBERS_TICK_MS = 500;
+
 	private NodeStarter() {
 	}
 
@@ -58,7 +60,7 @@
 		core.dispatcher.add(sync, BodyCase.CONFIG_DIGEST, BodyCase.CONFIG_PULL, BodyCase.CONFIG_UPDATE,
 				BodyCase.FLEET_REPORT);
 		core.workers.every(sync::tick, TICK_MS);
-		core.workers.every(core.members::tick, TICK_MS);
+		core.workers.every(core.members::tick, MEMBERS_TICK_MS);
 		return sync;
 	}
 
--- a/server/src/main/java/org/acaciamux/internal/transport/peer/NettyPeerLink.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/peer/NettyPeerLink.java
@@ -48,6 +48,8 @@
 
 	private volatile String closeReason = "connection closed by the other side";
 
+	private volatile Runnable writableAction;
+
 	private boolean closed;
 
 	private ScheduledFuture<?> ticker;
@@ -91,6 +93,20 @@
 		return this.channel.isWritable();
 	}
 
+	@Override
+	public void onWritable(Runnable action) {
+		this.writableAction = action;
+	}
+
+	@Override
+	public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+		Runnable action = this.writableAction;
+		if (action != null && this.channel.isWritable()) {
+			this.tasks.add(action);
+		}
+		ctx.fireChannelWritabilityChanged();
+	}
+
 	@Override
 	public boolean isOpen() {
 		return this.channel.isActive();
