Test load slots and keep an outdated view from undoing a release

Cause: an agent that gave a partition up for a better owner could take it back at once, because its view of the partition object still named it. The takeover now ends if this process is expected as owner but the object names nobody. The random test of orders did not notice a slot that is valid for its whole time.

Change: the check in PartitionTake with a test; LoadSlotsTests; a test that a call which became void before its connection opened is not sent.

Not noticed by any test: the server is not asked whether it loads before a slot is taken; the slot that an earlier process left covers the cases that the random test reaches.

--- a/server/src/main/java/org/acaciamux/internal/coordination/claim/PartitionTake.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/claim/PartitionTake.java
@@ -102,6 +102,11 @@
 
 	private Optional<String> objection() {
 		String owner = this.record.owner();
+		if (owner.isEmpty() && this.expected.owner().equals(this.context.vm())) {
+			// An outdated view must not undo a release that moves the partition
+			// elsewhere.
+			return Optional.of("released in the meantime");
+		}
 		boolean replaceable = owner.isEmpty() || owner.equals(this.context.vm())
 				|| (owner.equals(this.expected.owner()) && this.record.incarnation() == this.expected.incarnation());
 		if (!replaceable) {
--- a/server/src/test/java/org/acaciamux/internal/coordination/claim/ClaimLedgerTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/claim/ClaimLedgerTests.java
@@ -266,6 +266,17 @@
 		assertTrue(refuse.failure().detail().contains("answered with status 200"), refuse.failure().detail());
 	}
 
+	@Test
+	public void anOutdatedViewDoesNotUndoARelease() {
+		this.a.release(0);
+		pass(100);
+		pass(100);
+		this.a.take(0, "a", 1);
+		assertEquals(this.a.states(), List.of(ClaimPartition.State.IDLE));
+		this.a.take(0, "", 0);
+		assertEquals(this.a.states(), List.of(ClaimPartition.State.OWNED));
+	}
+
 	@Test
 	public void aMissingSegmentStopsKeysThatItMayHaveHeld() {
 		KeyedCall call = call(false);
--- /dev/null
+++ b/server/src/test/java/org/acaciamux/internal/coordination/order/LoadSlotsTests.java
@@ -0,0 +1,115 @@
+package org.acaciamux.internal.coordination.order;
+
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import org.acaciamux.internal.coordination.platform.FakeObjectStore;
+import org.acaciamux.internal.coordination.platform.GuardedStore;
+import org.acaciamux.internal.state.LockRank;
+
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+public class LoadSlotsTests {
+
+	private static final OrderSettings SETTINGS = new OrderSettings(1, 2_000, 1_000, 0.25, 50, 400);
+
+	private FakeObjectStore store;
+
+	private GuardedStore guard;
+
+	private long nowNanos;
+
+	private LoadSlots a;
+
+	private LoadSlots b;
+
+	@BeforeMethod
+	public void start() {
+		this.store = new FakeObjectStore();
+		this.guard = new GuardedStore(this.store, LockRank.LEAF);
+		this.a = slots("a", 1);
+		this.b = slots("b", 2);
+	}
+
+	@Test
+	public void anOrderIsVoidOnceHalfOfTheSlotsTimeHasPassed() {
+		assertTrue(take(this.a));
+		pass(999);
+		assertTrue(this.a.valid(this.a.fence()));
+		pass(1);
+		assertFalse(this.a.valid(this.a.fence()));
+	}
+
+	@Test
+	public void theTimeOfASlotCountsFromBeforeItsWrite() {
+		this.store.holdIf(FakeObjectStore.Call::isWrite);
+		this.guard.guarded(() -> this.a.take("p", true, 4, (held) -> {
+		}));
+		pass(1_500);
+		this.store.held().get(0).answer();
+		assertFalse(this.a.valid(this.a.fence()));
+	}
+
+	@Test
+	public void aSlotExpiresForOthersAfterItsWholeTimeUnchanged() {
+		take(this.a);
+		assertFalse(take(this.b));
+		pass(1_999);
+		assertFalse(take(this.b));
+		pass(1);
+		assertTrue(take(this.b));
+	}
+
+	@Test
+	public void aRenewedSlotDoesNotExpire() {
+		take(this.a);
+		take(this.b);
+		pass(1_500);
+		this.guard.guarded(() -> this.a.renew((held) -> {
+		}));
+		take(this.b);
+		pass(1_500);
+		assertFalse(take(this.b));
+	}
+
+	@Test
+	public void aLaterSlotHasAHigherFencingNumber() {
+		take(this.a);
+		long first = this.a.fence();
+		this.guard.guarded(() -> this.a.release((released) -> {
+		}));
+		take(this.a);
+		assertTrue(this.a.fence() > first);
+	}
+
+	@Test
+	public void aLostAnswerDoesNotLoseTheSlot() {
+		this.store.loseAnswers(2);
+		this.store.holdIf((call) -> !call.isWrite());
+		AtomicBoolean result = new AtomicBoolean();
+		this.guard.guarded(() -> this.a.take("p", true, 4, result::set));
+		while (!this.store.held().isEmpty()) {
+			this.store.held().get(0).answer();
+		}
+		assertTrue(result.get() && this.a.valid(this.a.fence()));
+	}
+
+	private boolean take(LoadSlots slots) {
+		AtomicBoolean result = new AtomicBoolean();
+		this.guard.guarded(() -> slots.take("p", true, 4, result::set));
+		return result.get();
+	}
+
+	private void pass(long millis) {
+		this.nowNanos += TimeUnit.MILLISECONDS.toNanos(millis);
+	}
+
+	private LoadSlots slots(String vm, long incarnation) {
+		return new LoadSlots(this.guard, () -> this.nowNanos, "r", vm, incarnation, SETTINGS);
+	}
+
+}
--- a/server/src/test/java/org/acaciamux/internal/coordination/platform/HttpObjectStoreTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/platform/HttpObjectStoreTests.java
@@ -17,6 +17,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.HttpMethod;
 import io.vavr.control.Either;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -156,6 +157,17 @@
 				List.of(new VmDirectory.VmEntry("a1", "agent", "127.0.0.1", 5, 0, "r", "d", "p", true)));
 	}
 
+	@Test
+	public void aCallThatIsVoidWhenItsConnectionOpensIsNotSent() {
+		PlatformHttpClient.Reply reply = this.client
+			.call(HttpMethod.POST, "/v1/orders", new byte[0], 5_000, () -> false)
+			.toCompletableFuture()
+			.orTimeout(20, TimeUnit.SECONDS)
+			.join();
+		assertTrue(reply instanceof PlatformHttpClient.Reply.NotSent, reply.toString());
+		assertEquals(this.requestLines.size(), 0);
+	}
+
 	@Test
 	public void waitingWatchesSlowTheRefillOfTheBudget() {
 		long[] now = { 0 };
