Bound the wait for the handover of partitions during a drain

Cause: during an outage of the platform a partition cannot be released, and an agent that got SIGTERM waited for it without end, because the drain timeout is 0 by default. Ruled out: no wait at all; a handover spares the next owner the time until the old one counts as gone. Change: the drain waits at most 5 s for the handover after all requests have ended. Before: drained() stays false in an outage (reported from the tests of the claims part). After: the drain ends; takeover is safe without a handover. Conclusion: a graceful shutdown no longer depends on the platform.

--- a/server/src/main/java/org/acaciamux/internal/process/AgentRuntime.java
+++ b/server/src/main/java/org/acaciamux/internal/process/AgentRuntime.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
@@ -39,10 +40,16 @@
 
 	private static final int TICK_MS = 100;
 
+	private static final long HANDOVER_LIMIT_MS = 5_000;
+
+	private static final long NOT_STARTED = -1;
+
 	private static final int CONTROL_CONNECT_TIMEOUT_MS = 1_000;
 
 	private static final int CONTROL_CONNECTIONS = 2;
 
+	private final AtomicLong handoverUntilMs = new AtomicLong(NOT_STARTED);
+
 	private final ProcessCore core;
 
 	private final ClaimLedger ledger;
@@ -158,7 +165,7 @@
 	public List<String> waitingFor() {
 		DrainProgress progress = this.service.drainProgress();
 		boolean idle = progress.running() + progress.queued() + progress.unsent() + progress.transfers() == 0;
-		if (progress.draining() && progress.done() && !this.ownership.drained()) {
+		if (progress.draining() && progress.done() && waitsForHandover()) {
 			return List.of("partitions to be handed over");
 		}
 		if (progress.done() || (!progress.draining() && idle)) {
@@ -168,6 +175,14 @@
 				+ " unsent, " + progress.transfers() + " cache transfers, oldest " + progress.oldestMs() + " ms");
 	}
 
+	// A handover only shortens the time without an owner; takeover is safe without it. So
+	// an outage of the platform must not keep the process.
+	private boolean waitsForHandover() {
+		long now = this.core.nowMs();
+		this.handoverUntilMs.compareAndSet(NOT_STARTED, now + HANDOVER_LIMIT_MS);
+		return !this.ownership.drained() && now < this.handoverUntilMs.get();
+	}
+
 	@Override
 	public FleetReport workReport() {
 		return WorkReport.ofAgent(this.core, this.pool, this.service);
