--- /dev/null
+++ b/examples/src/test/java/org/acaciamux/process/TakeoverTests.java
@@ -0,0 +1,94 @@
+package org.acaciamux.process;
+
+import java.util.concurrent.CompletableFuture;
+
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import org.acaciamux.examples.harness.CallKeys;
+import org.acaciamux.examples.harness.Caller.Answer;
+import org.acaciamux.examples.harness.Daemon;
+import org.acaciamux.examples.harness.Polling;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * Guards against second executions when another agent takes over the keys of one that
+ * dies or freezes.
+ */
+public class TakeoverTests {
+
+	private TestFleet fleet;
+
+	@BeforeMethod
+	void startFleet() {
+		this.fleet = TestFleet.create().withRouters(2).withWriters(1).withTills(2, 0).ready();
+	}
+
+	@AfterMethod(alwaysRun = true)
+	void stopFleet() {
+		if (this.fleet != null) {
+			this.fleet.close();
+		}
+	}
+
+	@Test
+	void chargeOfKilledAgentIsUnknownAndNeverRunsAgain() {
+		setChargeMs(4000);
+		String key = CallKeys.next();
+		CompletableFuture<Answer> pending = this.fleet.chargeLater(0, key);
+		Polling.await("the charge runs", 30, () -> this.fleet.executions(key) == 1);
+		killAgentsThatRun();
+		Answer answer = pending.join();
+		assertEquals(answer.header("Acaciamux-Outcome"), "unknown", answer.toString());
+		Answer repeated = awaitConclusiveCharge(1, key);
+		assertEquals(repeated.header("Acaciamux-Outcome"), "unknown", repeated.toString());
+		assertEquals(this.fleet.executions(key), 1);
+	}
+
+	@Test
+	void frozenOwnerThatContinuesAfterTakeoverRunsNothing() {
+		String first = CallKeys.next();
+		Daemon owner = this.fleet.agent(this.fleet.charge(0, first).header("Acaciamux-Server"));
+		owner.process().freeze();
+		String second = CallKeys.next();
+		CompletableFuture<Answer> sentToFrozen = this.fleet.chargeLater(0, second);
+		Answer taken = this.fleet.charge(1, CallKeys.next());
+		assertEquals(taken.status(), 201, taken.toString());
+		assertNotEquals(taken.header("Acaciamux-Server"), owner.id());
+		this.fleet.charge(1, second);
+		owner.process().unfreeze();
+		sentToFrozen.join();
+		this.fleet.fleet.awaitReady(owner);
+		assertEquals(this.fleet.charge(0, CallKeys.next()).status(), 201);
+		assertTrue(this.fleet.executions(second) <= 1, "executions: " + this.fleet.executions(second));
+		this.fleet.charge(0, first);
+		assertEquals(this.fleet.executions(first), 1);
+	}
+
+	private Answer awaitConclusiveCharge(int router, String key) {
+		Answer[] last = new Answer[1];
+		Polling.await(() -> "another agent answers for the key; last answer: " + last[0], 60, () -> {
+			last[0] = this.fleet.chargeOnce(router, key);
+			return last[0].status() != 503;
+		});
+		return last[0];
+	}
+
+	private void killAgentsThatRun() {
+		for (int i = 0; i < this.fleet.services.size(); i++) {
+			if (this.fleet.state(this.fleet.services.get(i)).json().path("running").asInt() > 0) {
+				this.fleet.tills.get(i).process().kill();
+			}
+		}
+	}
+
+	private void setChargeMs(long ms) {
+		this.fleet.services.forEach((service) -> this.fleet.fleet.caller()
+			.post(service.port(), "/control/charge-ms", "{\"ms\":" + ms + "}"));
+	}
+
+}
