--- a/server/src/test/java/org/acaciamux/internal/transport/http/HttpFrontTests.java
+++ b/server/src/test/java/org/acaciamux/internal/transport/http/HttpFrontTests.java
@@ -37,7 +37,7 @@
 
 	private static final String GET = "GET /pools/chat/x HTTP/1.1\r\nHost: h\r\n\r\n";
 
-	private static final HttpLimits LIMITS = new HttpLimits(1_024, 2_048, 100, 1 << 20, 400, 60_000);
+	private static final HttpLimits LIMITS = new HttpLimits(1_024, 2_048, 100, 1_000, 1 << 20, 400, 60_000);
 
 	private final BlockingQueue<Call> calls = new LinkedBlockingQueue<>();
 
@@ -135,6 +135,7 @@
 			}
 			call.sink.end();
 			caller.readUntil("\r\n\r\n");
+			awaitLoops();
 			assertTrue(call.consumed.get() < (64 << 20), "the socket cannot hold 64 MiB");
 			caller.readUntil("0\r\n\r\n");
 			assertEquals(call.consumed.get(), 64 << 20);
@@ -186,6 +187,7 @@
 		try (HttpCaller caller = new HttpCaller(this.address)) {
 			caller.send(GET + GET);
 			Call first = nextCall();
+			awaitLoops();
 			assertTrue(this.calls.isEmpty());
 			first.sink.fail(Failure.notRun(FailureCode.NO_BACKEND, "one", 0), "id-1");
 			nextCall().sink.fail(Failure.notRun(FailureCode.NO_BACKEND, "two", 0), "id-2");
@@ -215,7 +217,7 @@
 
 	@Test
 	public void bodiesOfAllConnectionsTogetherAreBounded() throws Exception {
-		HttpLimits limits = new HttpLimits(1_024, 2_048, 100, 150, 20_000, 60_000);
+		HttpLimits limits = new HttpLimits(1_024, 2_048, 100, 1_000, 150, 20_000, 60_000);
 		HttpFront small = new HttpFront(this.loops, limits, this::accept);
 		InetSocketAddress target = small.bind(new InetSocketAddress("127.0.0.1", 0)).get();
 		String post = "POST /pools/chat/x HTTP/1.1\r\nContent-Length: 100\r\n\r\n";
@@ -245,6 +247,14 @@
 		return call;
 	}
 
+	/**
+	 * Wait until the event loops have done everything that was handed to them before.
+	 */
+	private void awaitLoops() {
+		this.loops.forEach((loop) -> loop.submit(() -> {
+		}).awaitUninterruptibly());
+	}
+
 	private Call nextCall() throws InterruptedException {
 		Call call = this.calls.poll(20, TimeUnit.SECONDS);
 		assertNotNull(call, "no request arrived");
