--- a/examples/src/test/java/org/acaciamux/process/CrashingRequestTests.java
+++ b/examples/src/test/java/org/acaciamux/process/CrashingRequestTests.java
@@ -38,6 +38,7 @@
 						codes.add(answer.json().path("code").asText());
 						return codes.get(codes.size() - 1).equals("request-quarantined");
 					});
+			Polling.await("the crashed engines are back", 30, () -> fleet.sumOfEngines("crashes") > 0);
 			long crashes = fleet.sumOfEngines("crashes");
 			assertTrue(crashes <= MOST_CRASHES, crashes + " crashes; codes: " + codes);
 			for (int i = 0; i < 6; i++) {
