Withdraw fleet reports from an earlier parent and show the status in the demo

Cause: the demo's status named writer-2 as laggard at revision 51 and counted 4 of 3 processes: after a move in the tree its report stayed at the earlier parent for up to 8 s. Ruled out: a shorter lifetime of reports; one lost report would then drop a whole subtree. Change: a process that moves sends its earlier parent a report without processes, which removes the old one. The demo prints acaciamux status and runs one agent of each pool of the rota deployment, so that every pool reports.

--- a/examples/src/main/java/org/acaciamux/examples/demo/Demo.java
+++ b/examples/src/main/java/org/acaciamux/examples/demo/Demo.java
@@ -20,6 +20,10 @@
 
 	private static final String REGION = "tw-north";
 
+	private static final String ROTA_REGION = "ro-centru";
+
+	private static final long STATUS_SECONDS = 30;
+
 	private static final long STOP_SECONDS = 30;
 
 	private final Fleet fleet;
@@ -79,9 +83,18 @@
 			this.services.add(service);
 			start(DaemonSpec.agent("ordering-" + (i + 1), REGION, domain(i), "kiosk-ordering", service.hostPort()));
 		}
+		startRotaAgents();
 		this.daemons.forEach(this.fleet::awaitReady);
 	}
 
+	private void startRotaAgents() {
+		ManagedProcess engine = this.fleet.startEngine("engine-rota");
+		start(DaemonSpec.agent("rota-1", ROTA_REGION, ROTA_REGION + "-a", "rota-assistant", engine.hostPort()));
+		ManagedProcess service = this.fleet.startPlainService("confirmations");
+		start(DaemonSpec.agent("confirmations-1", ROTA_REGION, ROTA_REGION + "-b", "rota-confirmations",
+				service.hostPort()));
+	}
+
 	private void start(DaemonSpec spec) {
 		Daemon daemon = this.fleet.start(spec);
 		this.daemons.add(daemon);
@@ -143,10 +156,13 @@
 	}
 
 	private void showStatus() {
+		ManagedProcess status = this.fleet.runTool("status");
+		expect(status.awaitExit(STATUS_SECONDS) == 0, "acaciamux status ends with exit code 0");
+		System.out.println("acaciamux status:");
+		status.output().forEach((line) -> System.out.println("  " + line));
 		for (Daemon daemon : this.daemons) {
-			Answer status = this.fleet.caller().get(daemon.adminPort(), "/status");
-			System.out.println("status of " + daemon.id() + ": " + status.body().strip());
-			expect(status.status() == 200, "the status of " + daemon.id() + " can be read: " + status);
+			Answer ready = this.fleet.caller().get(daemon.adminPort(), "/ready");
+			expect(ready.status() == 200, daemon.id() + " is ready: " + ready);
 		}
 	}
 
--- a/examples/src/main/java/org/acaciamux/examples/harness/Fleet.java
+++ b/examples/src/main/java/org/acaciamux/examples/harness/Fleet.java
@@ -27,6 +27,8 @@
 
 	private static final String STAND_INS = "org.acaciamux.examples.standin.";
 
+	private static final String TOOL = "org.acaciamux.CliMain";
+
 	private static final String DAEMON = "org.acaciamux.DaemonMain";
 
 	private static final ObjectMapper JSON = new ObjectMapper();
@@ -120,6 +122,17 @@
 		return this.harness.launch(id, STAND_INS + name, args);
 	}
 
+	/**
+	 * Run the command-line tool against the fleet's platform.
+	 * @param command the command and its arguments
+	 * @return the process, whose output can be read after its exit
+	 */
+	public ManagedProcess runTool(String... command) {
+		List<String> args = new ArrayList<>(List.of(command));
+		args.addAll(List.of("--platform", this.platform.hostPort()));
+		return this.harness.launch("acaciamux", TOOL, args);
+	}
+
 	/**
 	 * Start a router or an agent and enter it in the VM list.
 	 * @param spec what to start
--- a/server/src/main/java/org/acaciamux/internal/coordination/configuration/ConfigurationSync.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/configuration/ConfigurationSync.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -64,6 +65,8 @@
 
 	private volatile Supplier<FleetReport> work = FleetReport::getDefaultInstance;
 
+	private Optional<Member> reportedTo = Optional.empty();
+
 	private ConfigurationTree tree;
 
 	private boolean watching;
@@ -197,12 +200,26 @@
 		if (this.tree.watcher() && this.state.confirmedAgeMs() > this.settings.freshMs()) {
 			Collections.rotate(parents, this.parts.random().nextInt(parents.size() + 1));
 		}
-		this.peers.firstUsable(parents).ifPresent((parent) -> {
-			this.peers.ask(parent);
-			if (!this.tree.watcher() || this.tree.position() > 0 && sameDomain(parent)) {
-				this.state.send(parent, Frame.newBuilder().setFleetReport(report()).build(), ignored());
-			}
-		});
+		Optional<Member> parent = this.peers.firstUsable(parents);
+		parent.ifPresent(this.peers::ask);
+		reportTo(parent.filter(this::collectsReports));
+	}
+
+	private boolean collectsReports(Member parent) {
+		return !this.tree.watcher() || (this.tree.position() > 0 && sameDomain(parent));
+	}
+
+	// An earlier parent is told to forget this process, which would otherwise be counted
+	// twice and with an old revision until the report expires.
+	private void reportTo(Optional<Member> target) {
+		this.reportedTo.filter((earlier) -> target.filter((now) -> now.id().equals(earlier.id())).isEmpty())
+			.ifPresent((earlier) -> sendReport(earlier, FleetReport.getDefaultInstance()));
+		this.reportedTo = target;
+		target.ifPresent((parent) -> sendReport(parent, report()));
+	}
+
+	private void sendReport(Member parent, FleetReport report) {
+		this.state.send(parent, Frame.newBuilder().setFleetReport(report).build(), ignored());
 	}
 
 	private boolean sameDomain(Member parent) {
--- a/server/src/main/java/org/acaciamux/internal/coordination/configuration/FleetAggregate.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/configuration/FleetAggregate.java
@@ -6,9 +6,10 @@
 import org.acaciamux.internal.protocol.wire.FleetReport;
 
 /**
- * Adds up the reports of a subtree. A report counts for a limited time, so a child that
- * moved to another parent may be counted twice for that time; the lowest revision is then
- * still right. Guarded by the serial tasks of {@link ConfigurationSync}.
+ * Adds up the reports of a subtree. A report counts until its child withdraws it or a
+ * limited time has passed, so a child that moved while its earlier parent could not be
+ * reached may be counted twice for that time. Guarded by the serial tasks of
+ * {@link ConfigurationSync}.
  */
 final class FleetAggregate {
 
@@ -20,7 +21,17 @@
 		this.keepMs = keepMs;
 	}
 
+	/**
+	 * Take over the report of a child. One without processes withdraws the earlier one.
+	 * @param child the id of the child's VM
+	 * @param report the report
+	 * @param nowMs the time in milliseconds
+	 */
 	void report(String child, FleetReport report, long nowMs) {
+		if (report.getProcesses() == 0) {
+			this.reports.remove(child);
+			return;
+		}
 		this.reports.put(child, new Received(report, nowMs));
 	}
 
--- a/server/src/test/java/org/acaciamux/internal/coordination/configuration/ConfigurationSyncTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/configuration/ConfigurationSyncTests.java
@@ -141,6 +141,18 @@
 		assertEquals(aggregate.sum(report("vm0", 9, 1), 9_000), report("vm0", 9, 1));
 	}
 
+	/**
+	 * Guards against a child that moved to another parent and is counted at both, with an
+	 * old revision at the earlier one.
+	 */
+	@Test
+	public void aWithdrawnReportCountsNoLonger() {
+		FleetAggregate aggregate = new FleetAggregate(8_000);
+		aggregate.report("vm1", report("vm1", 3, 1), 0);
+		aggregate.report("vm1", FleetReport.getDefaultInstance(), 100);
+		assertEquals(aggregate.sum(report("vm0", 9, 1), 200), report("vm0", 9, 1));
+	}
+
 	@Test
 	public void controlTrafficOfAProcessStaysBelowItsShare() {
 		SpreadWorld world = new SpreadWorld(6, 12, 1);
