--- a/examples/src/main/java/org/acaciamux/examples/harness/Fleet.java
+++ b/examples/src/main/java/org/acaciamux/examples/harness/Fleet.java
@@ -278,17 +278,18 @@
 	/**
 	 * Write a record over whatever version the platform holds.
 	 * @param yaml the record
+	 * @return the version written
 	 */
-	public void writeRecord(String yaml) {
+	public long writeRecord(String yaml) {
 		try {
-			writeRecord(YAML.readTree(yaml));
+			return writeRecord(YAML.readTree(yaml));
 		}
 		catch (IOException ex) {
 			throw new UncheckedIOException("the record is not YAML", ex);
 		}
 	}
 
-	private void writeRecord(JsonNode record) {
+	private long writeRecord(JsonNode record) {
 		String path = "/v1/objects/" + record.path("kind").asText() + "/" + record.path("name").asText();
 		Answer held = this.caller.get(this.platform.port(), path);
 		long version = held.json().path("version").asLong();
@@ -297,6 +298,7 @@
 		if (answer.status() != 200) {
 			throw new IllegalStateException("the platform refused " + path + ": " + answer);
 		}
+		return answer.json().path("version").asLong();
 	}
 
 	private ObjectNode settings(DaemonSpec spec) {
--- a/server/src/main/java/org/acaciamux/internal/process/AgentRuntime.java
+++ b/server/src/main/java/org/acaciamux/internal/process/AgentRuntime.java
@@ -38,6 +38,8 @@
 
 	private static final int LEDGER_TICK_MS = 20;
 
+	private static final int IDLE_LEDGER_TICK_MS = 1_000;
+
 	private static final int TICK_MS = 100;
 
 	private static final long HANDOVER_LIMIT_MS = 5_000;
@@ -101,10 +103,19 @@
 		core.dispatcher.add(this.service, BodyCase.SUBMIT, BodyCase.CREDIT, BodyCase.CANCEL, BodyCase.RESUME,
 				BodyCase.RESOLVE, BodyCase.KV_OFFER);
 		core.workers.every(this.service::tick, AgentService.TICK_MS);
-		core.workers.every(this.ledger::tick, LEDGER_TICK_MS);
+		core.workers.schedule(this::tickLedger, LEDGER_TICK_MS);
 		core.workers.every(this::tick, TICK_MS);
 	}
 
+	// Writes of claims need short ticks; a pool without keyed calls has none, and waking
+	// up
+	// 50 times a second would cost it more than all other control together.
+	private void tickLedger() {
+		this.ledger.tick();
+		boolean keyed = this.core.records.pool(this.pool).filter((spec) -> !spec.repeatable()).isPresent();
+		this.core.workers.schedule(this::tickLedger, keyed ? LEDGER_TICK_MS : IDLE_LEDGER_TICK_MS);
+	}
+
 	private void tick() {
 		this.exchange.tick();
 		this.ownership.tick();
