Split the construction of the agent role and keep the ledger's timer alive

Cause: the constructor of AgentRuntime had grown to 35 lines, and a ledger tick that threw would have ended the chain of ticks. Ruled out: a builder; two private methods are enough. Change: orders and registration in methods of their own; the next tick is scheduled before the ledger runs.

--- a/server/src/main/java/org/acaciamux/internal/process/AgentRuntime.java
+++ b/server/src/main/java/org/acaciamux/internal/process/AgentRuntime.java
@@ -92,13 +92,21 @@
 		this.ownership = new PartitionOwnership(this.pool, core.settings.id(), core.incarnation, this.ledger,
 				core.records, core.members, () -> !this.service.backendDown(), core.clock, core.newRandom(),
 				OwnershipSettings.defaults());
-		suspects.onNews(this.exchange::soon);
 		this.backendControl = new PlatformHttpClient(core.group, settings.backend().toSocketAddress(),
 				CONTROL_CONNECT_TIMEOUT_MS, CONTROL_CONNECTIONS);
-		OrderSettings orderSettings = OrderSettings.defaults();
-		this.orders = new OrderController(this.pool, core.settings.region(), core.settings.id(), core.incarnation,
-				core.store, new HttpBackendOrders(this.backendControl, orderSettings.loadMs()), core.records,
-				() -> poolLoad().members(), core.clock, core.newRandom(), orderSettings, core.registry);
+		this.orders = orders(core);
+		suspects.onNews(this.exchange::soon);
+		register(core);
+	}
+
+	private OrderController orders(ProcessCore core) {
+		OrderSettings settings = OrderSettings.defaults();
+		return new OrderController(this.pool, core.settings.region(), core.settings.id(), core.incarnation, core.store,
+				new HttpBackendOrders(this.backendControl, settings.loadMs()), core.records, () -> poolLoad().members(),
+				core.clock, core.newRandom(), settings, core.registry);
+	}
+
+	private void register(ProcessCore core) {
 		core.dispatcher.add(this.exchange, BodyCase.LOAD_EXCHANGE, BodyCase.POOL_VIEW_REQUEST);
 		core.dispatcher.add(this.service, BodyCase.SUBMIT, BodyCase.CREDIT, BodyCase.CANCEL, BodyCase.RESUME,
 				BodyCase.RESOLVE, BodyCase.KV_OFFER);
@@ -107,13 +115,14 @@
 		core.workers.every(this::tick, TICK_MS);
 	}
 
-	// Writes of claims need short ticks; a pool without keyed calls has none, and waking
-	// up
-	// 50 times a second would cost it more than all other control together.
+	/**
+	 * Writes of claims need short ticks. A pool without keyed calls has no writes, and
+	 * waking up 50 times a second would cost it about a fifth of its processor time.
+	 */
 	private void tickLedger() {
-		this.ledger.tick();
 		boolean keyed = this.core.records.pool(this.pool).filter((spec) -> !spec.repeatable()).isPresent();
 		this.core.workers.schedule(this::tickLedger, keyed ? LEDGER_TICK_MS : IDLE_LEDGER_TICK_MS);
+		this.ledger.tick();
 	}
 
 	private void tick() {
@@ -130,10 +139,6 @@
 		return this.exchange.poolLoad();
 	}
 
-	AgentService service() {
-		return this.service;
-	}
-
 	private boolean isModelEngine() {
 		return this.core.records.pool(this.pool).map(PoolSpec::model).orElse(false);
 	}
