Move the readers' side of the member table into MemberIndex

Ruled out: splitting the judgement; its steps share one lock and one clock. Change: MemberIndex holds members and ids by pool; the table changes it under its lock.

--- a/server/src/main/java/org/acaciamux/internal/coordination/membership/MemberTable.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/membership/MemberTable.java
@@ -1,6 +1,5 @@
 package org.acaciamux.internal.coordination.membership;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -10,8 +9,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.TreeSet;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.Counter;
@@ -62,9 +59,7 @@
 
 	private final Map<String, Long> observedAtMs = new HashMap<>();
 
-	private final Map<String, Member> members = new ConcurrentHashMap<>();
-
-	private volatile Index index = new Index(Map.of(), List.of());
+	private final MemberIndex index = new MemberIndex();
 
 	private final Counter losses;
 
@@ -88,7 +83,7 @@
 		this.losses = metrics.counter("acaciamux.membership.losses");
 		for (MemberState state : MemberState.values()) {
 			String name = "acaciamux.membership.members." + state.name().toLowerCase(Locale.ROOT);
-			metrics.gauge(name, () -> (Gauge<Integer>) () -> count(state));
+			metrics.gauge(name, () -> (Gauge<Integer>) () -> this.index.count(state));
 		}
 		metrics.gauge("acaciamux.membership.ownNetworkLost", () -> (Gauge<Integer>) () -> this.network.lost() ? 1 : 0);
 		metrics.gauge("acaciamux.membership.pastMembers",
@@ -133,14 +128,7 @@
 	}
 
 	private void rebuildIndex() {
-		Map<String, List<String>> agents = new HashMap<>();
-		List<String> routers = new ArrayList<>();
-		for (String id : new TreeSet<>(this.health.keySet())) {
-			VmEntry vm = this.health.get(id).vm();
-			boolean router = Member.ROUTER.equals(vm.role());
-			(router ? routers : agents.computeIfAbsent(vm.pool(), (pool) -> new ArrayList<>())).add(id);
-		}
-		this.index = new Index(agents, routers);
+		this.index.rebuild(new TreeMap<>(this.health).values().stream().map(MemberHealth::vm).toList());
 	}
 
 	@Override
@@ -300,7 +288,7 @@
 	private void remove(MemberHealth known, long now) {
 		enter(known, MemberState.GONE, now);
 		this.health.remove(known.vm().id());
-		this.members.remove(known.vm().id());
+		this.index.remove(known.vm().id());
 	}
 
 	private void judgeOwnNetwork(long now) {
@@ -332,10 +320,7 @@
 		if (known.leaving() && known.state() != MemberState.LEAVING && known.state() != MemberState.GONE) {
 			enter(known, MemberState.LEAVING, now);
 		}
-		Member member = known.toMember();
-		if (!member.equals(this.members.get(member.id()))) {
-			this.members.put(member.id(), member);
-		}
+		this.index.put(known.toMember());
 	}
 
 	private void enter(MemberHealth known, MemberState state, long now) {
@@ -359,12 +344,12 @@
 
 	@Override
 	public List<Member> agents(String pool) {
-		return present(this.index.agents.getOrDefault(pool, List.of()));
+		return this.index.agents(pool);
 	}
 
 	@Override
 	public List<Member> routers() {
-		return present(this.index.routers);
+		return this.index.routers();
 	}
 
 	/**
@@ -372,20 +357,12 @@
 	 * @return the members ordered by id
 	 */
 	public List<Member> all() {
-		return present(new TreeMap<>(this.members).keySet());
-	}
-
-	private List<Member> present(Collection<String> ids) {
-		List<Member> present = new ArrayList<>(ids.size());
-		for (String id : ids) {
-			find(id).ifPresent(present::add);
-		}
-		return List.copyOf(present);
+		return this.index.all();
 	}
 
 	@Override
 	public Optional<Member> find(String id) {
-		return Optional.ofNullable(this.members.get(id)).filter((member) -> member.state() != MemberState.GONE);
+		return this.index.find(id);
 	}
 
 	@Override
@@ -397,10 +374,6 @@
 		return TimeUnit.NANOSECONDS.toMillis(this.clock.nanoTime());
 	}
 
-	private int count(MemberState state) {
-		return (int) this.members.values().stream().filter((member) -> member.state() == state).count();
-	}
-
 	/**
 	 * Return the state for the admin port.
 	 * @return the members with their states and loads
@@ -408,12 +381,7 @@
 	public ObjectNode dump() {
 		ObjectNode dump = JsonNodeFactory.instance.objectNode();
 		dump.put("ownNetworkLost", this.network.lost());
-		ObjectNode all = dump.putObject("members");
-		new TreeMap<>(this.members).forEach((id, member) -> all.putObject(id)
-			.put("state", member.state().name())
-			.put("pool", member.pool())
-			.put("failureDomain", member.failureDomain())
-			.put("load", member.load()));
+		dump.set("members", this.index.dump());
 		return dump;
 	}
 
@@ -426,13 +394,4 @@
 
 	}
 
-	/**
-	 * Ids by pool and role, rebuilt only when the VM list changes.
-	 *
-	 * @param agents ids of agents by pool, ordered
-	 * @param routers ids of routers, ordered
-	 */
-	private record Index(Map<String, List<String>> agents, List<String> routers) {
-	}
-
 }
