Revert the longer periods for links, views and the spread

Change: revert. Conclusion: the processor time of an idle process needs a profile before the next try.

--- a/server/src/main/java/org/acaciamux/internal/process/NodeStarter.java
+++ b/server/src/main/java/org/acaciamux/internal/process/NodeStarter.java
@@ -22,7 +22,7 @@
  */
 public final class NodeStarter {
 
-	private static final int SYNC_TICK_MS = 250;
+	private static final int TICK_MS = 100;
 
 	private static final int MEMBERS_TICK_MS = 500;
 
@@ -59,7 +59,7 @@
 				parts);
 		core.dispatcher.add(sync, BodyCase.CONFIG_DIGEST, BodyCase.CONFIG_PULL, BodyCase.CONFIG_UPDATE,
 				BodyCase.FLEET_REPORT);
-		core.workers.every(sync::tick, SYNC_TICK_MS);
+		core.workers.every(sync::tick, TICK_MS);
 		core.workers.every(core.members::tick, MEMBERS_TICK_MS);
 		return sync;
 	}
--- a/server/src/main/java/org/acaciamux/internal/process/RouterRuntime.java
+++ b/server/src/main/java/org/acaciamux/internal/process/RouterRuntime.java
@@ -31,7 +31,7 @@
 
 	private static final int TICK_MS = 50;
 
-	private static final int VIEW_TICK_MS = 250;
+	private static final int VIEW_TICK_MS = 100;
 
 	private static final int REQUEST_LINE_BYTES = 8_192;
 
--- a/server/src/main/java/org/acaciamux/internal/transport/peer/NettyPeerLink.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/peer/NettyPeerLink.java
@@ -30,7 +30,7 @@
 
 	private static final int PAUSE_READING_AT = 1_024;
 
-	private static final long TICK_MS = 500;
+	private static final long TICK_MS = 250;
 
 	private final PeerContext context;
 
