Word the range of a setting clearly

Cause: a port out of range was reported as 'a whole number of the port'. Ruled out: a message of its own for ports. Change: the unit stands in brackets. Before: must be a whole number of the port from 0 to 65535. Conclusion: found by trying a bad settings file as a new user.

--- a/server/src/main/java/org/acaciamux/settings/SettingsFile.java
+++ b/server/src/main/java/org/acaciamux/settings/SettingsFile.java
@@ -96,7 +96,7 @@
 	}
 
 	private static Endpoint bindable(SettingsNode section, String defaultAddress) {
-		return new Endpoint(section.address(defaultAddress), (int) section.number("port", 0, 0, 65_535, "the port"));
+		return new Endpoint(section.address(defaultAddress), (int) section.number("port", 0, 0, 65_535, "port"));
 	}
 
 	private static PlatformSettings platform(SettingsNode section) {
--- a/server/src/main/java/org/acaciamux/settings/SettingsNode.java
+++ b/server/src/main/java/org/acaciamux/settings/SettingsNode.java
@@ -103,8 +103,9 @@
 		}
 		JsonNode value = this.node.get(key);
 		if (!value.isIntegralNumber() || !value.canConvertToLong() || value.asLong() < min || value.asLong() > max) {
-			problem(key, "is '" + value.asText() + "', but must be a whole number of " + unit + " from " + min + " to "
-					+ max, key + ": " + defaultValue);
+			problem(key,
+					"is '" + value.asText() + "', but must be a whole number (" + unit + ") from " + min + " to " + max,
+					key + ": " + defaultValue);
 			return defaultValue;
 		}
 		return value.asLong();
