Let a restarted fleet on slow links learn its configuration

After the loss of all machines each restarted router asked up to 23 others for their whole state at the same time, over a link of 7 Mbit/s, and every call was cut after 700 or 800 ms although its response was arriving; then all were asked again (6,262 fetches, 5,195 of them failed). Before that, a router counted as behind when another one had merely been told a newer revision of the store, so states were fetched although no backend server had changed. Ruled out: the store (it answered the eight faster routers within 150 ms), processor time (a router reads the configuration in 0.2 s on 0.27 cores).

Change: a call is cut when its response falls silent, not while it arrives; CatchUp fetches from one router at a time, after 400 ms (150 ms at the start); messages carry the newest change of a backend server instead of the store's revision; a state leaves out a configuration that the asker knows.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/FleetLoads.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/FleetLoads.java
@@ -2,13 +2,15 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 import org.agrona.concurrent.NanoClock;
 
 /**
  * What the other routers have in flight, from their last messages. Invariant: a message
  * older than {@link #MAX_AGE} counts for nothing, so the load of a router that died does
- * not stay. Confined to the event loop.
+ * not stay. In a fleet of which only a sample was heard within that time, the sample
+ * stands for all live routers. Confined to the event loop.
  */
 public final class FleetLoads {
 
@@ -19,6 +21,8 @@
 
 	private final NanoClock clock;
 
+	private long liveNanos = MAX_AGE;
+
 	/**
 	 * Create an empty table.
 	 * @param clock the monotonic clock
@@ -43,17 +47,33 @@
 	}
 
 	/**
-	 * Add up the requests of the live routers.
+	 * Set how many other routers are known, and forget those that are not live.
+	 * @param known the number, at least 0
+	 */
+	public void routers(int known) {
+		this.liveNanos = TimeUnit.MILLISECONDS.toNanos(ExchangePolicy.liveMs(known));
+		long now = this.clock.nanoTime();
+		this.reports.values().removeIf((report) -> now - report.at > this.liveNanos);
+	}
+
+	/**
+	 * Estimate the requests of the live routers.
 	 * @return the requests in flight by server id
 	 */
 	public Map<String, Integer> inFlight() {
 		Map<String, Integer> sum = new HashMap<>();
 		long now = this.clock.nanoTime();
+		int heard = 0;
 		for (Report report : this.reports.values()) {
 			if (now - report.at <= MAX_AGE) {
+				heard++;
 				report.inFlight.forEach((server, count) -> sum.merge(server, count, Integer::sum));
 			}
 		}
+		if (this.liveNanos > MAX_AGE && heard > 0) {
+			double scale = (double) live() / heard;
+			sum.replaceAll((server, count) -> (int) Math.round(count * scale));
+		}
 		return sum;
 	}
 
@@ -63,7 +83,7 @@
 	 */
 	public int live() {
 		long now = this.clock.nanoTime();
-		return (int) this.reports.values().stream().filter((report) -> now - report.at <= MAX_AGE).count();
+		return (int) this.reports.values().stream().filter((report) -> now - report.at <= this.liveNanos).count();
 	}
 
 	private record Report(long incarnation, long sequence, long at, Map<String, Integer> inFlight) {
--- a/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
@@ -13,10 +13,12 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.QueryStringDecoder;
 import org.agrona.concurrent.NanoClock;
 import org.agrona.concurrent.SystemNanoClock;
 
 import org.acaciamux.internal.coordination.direct.CrashSuspects;
+import org.acaciamux.internal.coordination.direct.ExchangePolicy;
 import org.acaciamux.internal.coordination.direct.FleetLoads;
 import org.acaciamux.internal.coordination.direct.Placement;
 import org.acaciamux.internal.coordination.direct.PlacementSettings;
@@ -43,9 +45,6 @@
 	/** Pace of the checks of time limits, in milliseconds. */
 	private static final long TICK_MS = 40;
 
-	/** Pace of the messages to the other routers, in milliseconds. */
-	private static final long EXCHANGE_MS = 250;
-
 	/**
 	 * Pace at which placements are saved, in milliseconds: a fleet that restarts loses
 	 * the placements of this time.
@@ -132,11 +131,11 @@
 	public Optional<String> start() {
 		// The first calls of the directory are under way while the addresses are bound.
 		this.loop.execute(() -> this.directory.start(this));
-		PeerServer readiness = new PeerServer(this.loop, Map.of(PeerServer.ANY_PATH, this::readinessPage));
+		PeerServer readiness = new PeerServer(this.loop, Map.of(PeerServer.ANY_PATH, (query) -> readinessPage()));
 		PeerServer pages = new PeerServer(this.loop,
-				Map.of(PeerServer.STATE_PATH, () -> new PeerServer.Page(200, this.directory.export()),
-						PeerServer.PLACEMENTS_PATH, () -> new PeerServer.Page(200, this.peers.placementsPage()),
-						PeerServer.METRICS_PATH, () -> PeerServer.Page.text(200, MetricsText.write(this.registry))));
+				Map.of(PeerServer.STATE_PATH, this::statePage, PeerServer.PLACEMENTS_PATH,
+						(query) -> new PeerServer.Page(200, this.peers.placementsPage()), PeerServer.METRICS_PATH,
+						(query) -> PeerServer.Page.text(200, MetricsText.write(this.registry))));
 		List<ChannelFuture> bound = List.of(this.front.bind(this.settings.listen().toSocketAddress()),
 				readiness.bind(this.settings.readiness().toSocketAddress()),
 				pages.bind(this.settings.peer().toSocketAddress()), this.peers.bind());
@@ -149,7 +148,7 @@
 		this.listenPort = port(bound.get(0));
 		this.readinessPort = port(bound.get(1));
 		every(TICK_MS, this.context::tick);
-		every(EXCHANGE_MS, this::exchange);
+		every(ExchangePolicy.PACE_MS, this::exchange);
 		every(IDLE_CHECK_MS, this.front::tick);
 		every(SAVE_MS, this::save);
 		this.log.line("event=started router=" + this.settings.id() + " listen=" + this.settings.listen());
@@ -193,6 +192,10 @@
 		this.directory.routers(this.loads.live() + 1);
 	}
 
+	private PeerServer.Page statePage(QueryStringDecoder query) {
+		return new PeerServer.Page(200, this.directory.export(PeerServer.number(query, PeerServer.KNOWN_CONFIG)));
+	}
+
 	private PeerServer.Page readinessPage() {
 		return ready() ? PeerServer.Page.text(200, "ready\n") : PeerServer.Page.text(503, "not ready\n");
 	}
--- a/server/src/main/java/org/acaciamux/internal/process/direct/Directory.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/Directory.java
@@ -21,9 +21,11 @@
 
 	/**
 	 * Return what is known, for another router that cannot reach the directory.
+	 * @param knownConfig version of the configuration that the other router knows; it is
+	 * left out unless it is newer, because it is by far the largest part
 	 * @return the state in the directory's own format
 	 */
-	byte[] export();
+	byte[] export(long knownConfig);
 
 	/**
 	 * Take over what another router knows, as far as it is newer.
@@ -61,9 +63,10 @@
 	 *
 	 * @param config version of the newest configuration, 0 if none is known
 	 * @param revision revision of the directory up to which all changes are known
+	 * @param changed revision of the newest change of a backend server that is known
 	 * @param ageMs milliseconds since the directory was last heard
 	 */
-	record Freshness(long config, long revision, long ageMs) {
+	record Freshness(long config, long revision, long changed, long ageMs) {
 	}
 
 	/**
--- a/server/src/main/java/org/acaciamux/internal/process/direct/PeerExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/PeerExchange.java
@@ -3,10 +3,11 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import io.netty.bootstrap.Bootstrap;
@@ -22,7 +23,9 @@
 import io.netty.handler.codec.http.HttpMethod;
 import org.agrona.concurrent.NanoClock;
 
+import org.acaciamux.internal.coordination.direct.CatchUp;
 import org.acaciamux.internal.coordination.direct.CrashSuspects;
+import org.acaciamux.internal.coordination.direct.ExchangePolicy;
 import org.acaciamux.internal.coordination.direct.FleetLoads;
 import org.acaciamux.internal.coordination.direct.PromptPart;
 import org.acaciamux.internal.coordination.direct.RecentPlacements;
@@ -34,24 +37,22 @@
 import org.acaciamux.settings.Endpoint;
 
 /**
- * Exchanges state with the other routers by datagrams: requests in flight, crash suspects
- * and how new the directory's knowledge is. Fetches the directory's state from a router
- * that has known more for a while. Invariant: a router that was not heard for
- * {@link #FORGET_NANOS} gets no more messages. Confined to the event loop.
+ * Exchanges state by datagrams with the other routers, or with a random part of a large
+ * fleet: requests in flight, crash suspects and how new the directory's knowledge is.
+ * Fetches the directory's state from a router that has known more for a while. Invariant:
+ * a router that was not heard for {@link #FORGET_NANOS} gets no more messages. Confined
+ * to the event loop.
  */
 final class PeerExchange {
 
 	/** How long a silent router is remembered, in nanoseconds: longer than a restart. */
 	private static final long FORGET_NANOS = 30_000_000_000L;
 
-	/** Time for the state of another router to arrive, in milliseconds. */
-	private static final long FETCH_TIMEOUT_MS = 800;
-
 	/**
-	 * How long another router may know more before its state is fetched, in nanoseconds:
-	 * a watch that works hears of a change within one message.
+	 * Longest silence of another router while its state is fetched, in milliseconds:
+	 * twice the time that a router with a quarter of a core takes to write it.
 	 */
-	private static final long BEHIND_NANOS = 400_000_000L;
+	private static final long FETCH_TIMEOUT_MS = 800;
 
 	/** Prompt parts told of each backend server to a router that has just started. */
 	private static final int PARTS_TOLD = 256;
@@ -59,14 +60,11 @@
 	/** Routers that save placements. */
 	private static final int SAVERS = 2;
 
-	/** Silence after which a router does not count as live, in nanoseconds. */
-	private static final long LIVE_NANOS = 2_000_000_000L;
-
 	private final Map<String, Peer> peers = new HashMap<>();
 
-	private final Map<String, Long> behind = new HashMap<>();
+	private final CatchUp catchUp = new CatchUp();
 
-	private final Set<String> fetching = new HashSet<>();
+	private final SplittableRandom random = new SplittableRandom();
 
 	private final EventLoop loop;
 
@@ -156,10 +154,11 @@
 		byte[] bytes = new PeerMessage(this.router, this.self.toString(), this.incarnation, ++this.sequence,
 				this.leaving, this.directory.freshness(), inFlight, this.suspects.crashes(), this.placements.take())
 			.encode();
-		for (Peer peer : this.peers.values()) {
+		for (Peer peer : ExchangePolicy.receivers(this.peers.values(), this.random)) {
 			this.channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), peer.address));
 		}
 		this.channel.flush();
+		this.loads.routers(this.peers.size());
 		this.servers.peersInFlight(this.loads.inFlight());
 	}
 
@@ -205,14 +204,14 @@
 			return;
 		}
 		this.placementsAsked = true;
-		get(peer, PeerServer.PLACEMENTS_PATH, (body) -> {
+		get(peer, PeerServer.PLACEMENTS_PATH, (reply) -> reply.ifPresent((body) -> {
 			try {
 				learnLifetimes(PlacementsJson.read(JsonTrees.read(body)));
 			}
 			catch (IOException ex) {
 				this.log.line("event=placements-invalid from=" + peer + " reason=\"" + ex.getMessage() + "\"");
 			}
-		});
+		}));
 	}
 
 	/**
@@ -235,10 +234,11 @@
 	 */
 	boolean saves() {
 		long now = this.clock.nanoTime();
+		long liveNanos = TimeUnit.MILLISECONDS.toNanos(ExchangePolicy.liveMs(this.peers.size()));
 		String own = this.self.toString();
 		return this.peers.entrySet()
 			.stream()
-			.filter((entry) -> now - entry.getValue().heardAt < LIVE_NANOS && entry.getKey().compareTo(own) < 0)
+			.filter((entry) -> now - entry.getValue().heardAt < liveNanos && entry.getKey().compareTo(own) < 0)
 			.count() < SAVERS;
 	}
 
@@ -247,39 +247,33 @@
 			.ifPresent((server) -> prompts.forEach(server::keeps)));
 	}
 
-	private void get(Endpoint peer, String path, Consumer<byte[]> action) {
+	private void get(Endpoint peer, String uri, Consumer<Optional<byte[]>> action) {
 		PlatformHttpClient client = new PlatformHttpClient(this.loop, peer.toSocketAddress(), (int) FETCH_TIMEOUT_MS,
 				1);
-		client.call(HttpMethod.GET, path, new byte[0], FETCH_TIMEOUT_MS)
+		client.call(HttpMethod.GET, uri, new byte[0], FETCH_TIMEOUT_MS)
 			.whenComplete((reply, ex) -> this.loop.execute(() -> {
-				this.fetching.remove(peer.toString());
 				client.close();
 				if (reply instanceof PlatformHttpClient.Reply.Response response && response.status() == 200) {
-					action.accept(response.body());
-				}
-				else {
-					this.log.line("event=fetch-failed from=" + peer + " path=" + path + " reason=\"" + reply + "\"");
+					action.accept(Optional.of(response.body()));
+					return;
 				}
+				this.log.line("event=fetch-failed from=" + peer + " uri=" + uri + " reason=\"" + reply + "\"");
+				action.accept(Optional.empty());
 			}));
 	}
 
 	private void compare(Endpoint peer, Directory.Freshness theirs) {
 		Directory.Freshness mine = this.directory.freshness();
-		boolean newer = theirs.config() > mine.config() || theirs.revision() > mine.revision();
-		long now = this.clock.nanoTime();
-		if (!newer) {
-			this.behind.remove(peer.toString());
+		boolean newer = theirs.config() > mine.config() || theirs.changed() > mine.revision();
+		if (!this.catchUp.fetch(peer.toString(), newer, mine.config() != 0, this.clock.nanoTime())) {
 			return;
 		}
-		long since = this.behind.computeIfAbsent(peer.toString(), (key) -> now);
-		boolean stale = now - since > BEHIND_NANOS || mine.config() == 0;
-		if (!stale || !this.fetching.add(peer.toString())) {
-			return;
-		}
-		this.behind.remove(peer.toString());
-		this.log.line("event=state-fetch from=" + peer + " config=" + theirs.config() + " revision=" + theirs.revision()
+		this.log.line("event=state-fetch from=" + peer + " config=" + theirs.config() + " changed=" + theirs.changed()
 				+ " ownConfig=" + mine.config() + " ownRevision=" + mine.revision() + " ownAgeMs=" + mine.ageMs());
-		get(peer, PeerServer.STATE_PATH, this.directory::merge);
+		get(peer, PeerServer.STATE_PATH + "?" + PeerServer.KNOWN_CONFIG + "=" + mine.config(), (state) -> {
+			this.catchUp.ended(state.isPresent(), this.clock.nanoTime());
+			state.ifPresent(this.directory::merge);
+		});
 	}
 
 	private static final class Peer {
--- a/server/src/main/java/org/acaciamux/internal/process/direct/PeerMessage.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/PeerMessage.java
@@ -49,6 +49,7 @@
 		node.put("leaving", this.leaving);
 		node.put("config", this.freshness.config());
 		node.put("revision", this.freshness.revision());
+		node.put("changed", this.freshness.changed());
 		node.put("ageMs", this.freshness.ageMs());
 		ObjectNode loads = node.putObject("inFlight");
 		this.inFlight.forEach(loads::put);
@@ -83,12 +84,11 @@
 			crashes.put(Long.parseUnsignedLong(entry.getKey(), 16),
 					new Crashes(servers, entry.getValue().path("ageMs").asLong()));
 		});
-		return Optional
-			.of(new PeerMessage(node.path("router").asText(), node.path("peer").asText(),
-					node.path("incarnation").asLong(), node.path("sequence").asLong(), node.path("leaving").asBoolean(),
-					new Directory.Freshness(node.path("config").asLong(), node.path("revision").asLong(),
-							node.path("ageMs").asLong()),
-					loads, crashes, PlacementsJson.read(node.path("placements"))));
+		return Optional.of(new PeerMessage(node.path("router").asText(), node.path("peer").asText(),
+				node.path("incarnation").asLong(), node.path("sequence").asLong(), node.path("leaving").asBoolean(),
+				new Directory.Freshness(node.path("config").asLong(), node.path("revision").asLong(),
+						node.path("changed").asLong(), node.path("ageMs").asLong()),
+				loads, crashes, PlacementsJson.read(node.path("placements"))));
 	}
 
 }
--- a/server/src/main/java/org/acaciamux/internal/process/direct/PeerServer.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/PeerServer.java
@@ -2,8 +2,9 @@
 
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
-import java.util.function.Supplier;
+import java.util.function.Function;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
@@ -24,6 +25,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
 
 /**
  * Small HTTP server for pages that a process serves about itself: readiness, state for
@@ -34,6 +36,9 @@
 	/** State of the directory, for other routers. */
 	static final String STATE_PATH = "/state";
 
+	/** Query of {@link #STATE_PATH}: version of the configuration known to the asker. */
+	static final String KNOWN_CONFIG = "config";
+
 	/** Prompt parts that backend servers keep, for routers that have just started. */
 	static final String PLACEMENTS_PATH = "/placements";
 
@@ -47,9 +52,9 @@
 
 	private final EventLoop loop;
 
-	private final Map<String, Supplier<Page>> pages;
+	private final Map<String, Function<QueryStringDecoder, Page>> pages;
 
-	PeerServer(EventLoop loop, Map<String, Supplier<Page>> pages) {
+	PeerServer(EventLoop loop, Map<String, Function<QueryStringDecoder, Page>> pages) {
 		this.loop = loop;
 		this.pages = pages;
 	}
@@ -68,6 +73,17 @@
 			.bind(address);
 	}
 
+	/**
+	 * Read a number of a query.
+	 * @param query the query
+	 * @param name the parameter's name
+	 * @return the number, 0 if it is missing or cannot be read
+	 */
+	static long number(QueryStringDecoder query, String name) {
+		String text = query.parameters().getOrDefault(name, List.of("")).get(0);
+		return text.matches("\\d{1,18}") ? Long.parseLong(text) : 0;
+	}
+
 	/**
 	 * A page.
 	 *
@@ -86,8 +102,10 @@
 
 		@Override
 		protected void channelRead0(ChannelHandlerContext ctx, HttpRequest request) {
-			Supplier<Page> any = PeerServer.this.pages.getOrDefault(ANY_PATH, () -> Page.text(404, ""));
-			Page page = PeerServer.this.pages.getOrDefault(request.uri(), any).get();
+			QueryStringDecoder query = new QueryStringDecoder(request.uri());
+			Function<QueryStringDecoder, Page> any = PeerServer.this.pages.getOrDefault(ANY_PATH,
+					(unused) -> Page.text(404, ""));
+			Page page = PeerServer.this.pages.getOrDefault(query.path(), any).apply(query);
 			FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
 					HttpResponseStatus.valueOf(page.status()), Unpooled.wrappedBuffer(page.body()));
 			response.headers().set(HttpHeaderNames.CONTENT_LENGTH, page.body().length);
--- a/server/src/main/java/org/acaciamux/internal/transport/http/PlatformHttpClient.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/PlatformHttpClient.java
@@ -15,6 +15,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -43,6 +44,20 @@
 
 	private static final int MAX_IDLE = 8;
 
+	/**
+	 * Longest silence in the middle of a response, in milliseconds: a lost packet is
+	 * repeated within a second. A large response over a slow link takes as long as it
+	 * needs.
+	 */
+	private static final long MAX_SILENCE_MS = 1_000;
+
+	/**
+	 * Longest time for one response, in milliseconds: bytes that trickle do not hold a
+	 * call forever, and 1 MB takes 1.2 s over a link of 7 Mbit/s that carries nothing
+	 * else.
+	 */
+	private static final long MAX_RESPONSE_MS = 30_000;
+
 	private final Bootstrap bootstrap;
 
 	private final InetSocketAddress address;
@@ -75,7 +90,8 @@
 				@Override
 				protected void initChannel(Channel channel) {
 					channel.pipeline()
-						.addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_RESPONSE_BYTES), new Exchange());
+						.addLast(new Progress(), new HttpClientCodec(), new HttpObjectAggregator(MAX_RESPONSE_BYTES),
+								new Exchange());
 				}
 			});
 	}
@@ -85,8 +101,9 @@
 	 * @param method the HTTP method
 	 * @param uri path and query
 	 * @param body the body, empty for none
-	 * @param timeoutMs time from the start of sending to the complete response, at least
-	 * 1 millisecond
+	 * @param timeoutMs time from the start of sending to the first byte of the response,
+	 * at least 1 millisecond; later, the longest silence if it is shorter than
+	 * {@link #MAX_SILENCE_MS}
 	 * @return the reply; never completes exceptionally
 	 */
 	public CompletionStage<Reply> call(HttpMethod method, String uri, byte[] body, long timeoutMs) {
@@ -98,8 +115,9 @@
 	 * @param method the HTTP method
 	 * @param uri path and query
 	 * @param body the body, empty for none
-	 * @param timeoutMs time from the start of sending to the complete response, at least
-	 * 1 millisecond
+	 * @param timeoutMs time from the start of sending to the first byte of the response,
+	 * at least 1 millisecond; later, the longest silence if it is shorter than
+	 * {@link #MAX_SILENCE_MS}
 	 * @param stillWanted asked directly before the first byte is written
 	 * @return the reply, {@link Reply.NotSent} if the call was not wanted any more; never
 	 * completes exceptionally
@@ -236,6 +254,19 @@
 
 	}
 
+	/**
+	 * Notes that bytes of a response arrive. Confined to the connection's event loop.
+	 */
+	private static final class Progress extends ChannelInboundHandlerAdapter {
+
+		@Override
+		public void channelRead(ChannelHandlerContext ctx, Object message) {
+			ctx.pipeline().get(Exchange.class).heard();
+			ctx.fireChannelRead(message);
+		}
+
+	}
+
 	/**
 	 * The call that a connection carries. Confined to the connection's event loop.
 	 */
@@ -247,6 +278,10 @@
 
 		private Future<?> timeout;
 
+		private long startedAt;
+
+		private long heardAt;
+
 		@Override
 		public void handlerAdded(ChannelHandlerContext added) {
 			this.context = added;
@@ -254,10 +289,9 @@
 
 		void start(Call call) {
 			this.current = call;
-			this.timeout = this.context.executor().schedule(() -> {
-				end(new Reply.NoAnswer("no response within " + call.timeoutMs + " ms"));
-				this.context.close();
-			}, call.timeoutMs, TimeUnit.MILLISECONDS);
+			this.startedAt = System.nanoTime();
+			this.heardAt = 0;
+			this.timeout = this.context.executor().schedule(this::check, call.timeoutMs, TimeUnit.MILLISECONDS);
 			this.context.writeAndFlush(call.request).addListener((written) -> {
 				if (!written.isSuccess()) {
 					end(new Reply.NoAnswer("sending failed: " + written.cause().getMessage()));
@@ -266,6 +300,36 @@
 			});
 		}
 
+		private void check() {
+			long now = System.nanoTime();
+			if (this.heardAt == 0) {
+				giveUp("no response within " + this.current.timeoutMs + " ms");
+				return;
+			}
+			long silence = Math.min(this.current.timeoutMs, MAX_SILENCE_MS);
+			long left = silence - TimeUnit.NANOSECONDS.toMillis(now - this.heardAt);
+			if (left <= 0 || TimeUnit.NANOSECONDS.toMillis(now - this.startedAt) > MAX_RESPONSE_MS) {
+				giveUp("the response was not complete after " + TimeUnit.NANOSECONDS.toMillis(now - this.startedAt)
+						+ " ms, last byte " + TimeUnit.NANOSECONDS.toMillis(now - this.heardAt) + " ms ago");
+				return;
+			}
+			this.timeout = this.context.executor().schedule(this::check, left, TimeUnit.MILLISECONDS);
+		}
+
+		private void giveUp(String detail) {
+			end(new Reply.NoAnswer(detail));
+			this.context.close();
+		}
+
+		void heard() {
+			boolean first = this.heardAt == 0;
+			this.heardAt = System.nanoTime();
+			if (first && this.current != null) {
+				this.timeout.cancel(false);
+				check();
+			}
+		}
+
 		@Override
 		protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
 			if (response.decoderResult().isFailure()) {
--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/FleetStateTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/FleetStateTests.java
@@ -1,8 +1,12 @@
 package org.acaciamux.internal.coordination.direct;
 
+import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
 
 import org.testng.annotations.Test;
 
@@ -46,6 +50,64 @@
 		assertTrue(loads.inFlight().isEmpty());
 	}
 
+	@Test
+	public void sampleOfALargeFleetStandsForAllOfIt() {
+		FleetLoads loads = new FleetLoads(this.clock);
+		SplittableRandom random = new SplittableRandom(7);
+		List<Integer> routers = IntStream.range(0, 240).boxed().toList();
+		for (int round = 1; round <= 60; round++) {
+			this.clock.pass((int) ExchangePolicy.PACE_MS);
+			loads.routers(240);
+			for (int sender : routers) {
+				// This router is one of the 240 that the sender knows.
+				if (ExchangePolicy.receivers(routers, random).contains(0)) {
+					loads.report("r" + sender, 1, round, Map.of("a", 2, "b", 1));
+				}
+			}
+		}
+		assertTrue(loads.live() >= 225 && loads.live() <= 240, "live " + loads.live());
+		assertEquals(loads.inFlight().get("a").intValue(), 2 * loads.live());
+		assertEquals(loads.inFlight().get("b").intValue(), loads.live());
+	}
+
+	@Test
+	public void messageOfALargeFleetReachesABoundedNumberOfRouters() {
+		List<Integer> routers = IntStream.range(0, 360).boxed().toList();
+		Set<Integer> reached = new HashSet<>();
+		SplittableRandom random = new SplittableRandom(3);
+		for (int round = 0; round < 300; round++) {
+			Collection<Integer> drawn = ExchangePolicy.receivers(routers, random);
+			assertEquals(Set.copyOf(drawn).size(), ExchangePolicy.FANOUT);
+			reached.addAll(drawn);
+		}
+		assertEquals(reached.size(), 360);
+		assertEquals(ExchangePolicy.receivers(routers.subList(0, 5), random).size(), 5);
+	}
+
+	@Test
+	public void stateIsFetchedFromOneRouterAtATime() {
+		CatchUp catchUp = new CatchUp();
+		for (int ms = 0; ms <= 500; ms += 50) {
+			long now = ms * 1_000_000L;
+			for (String router : List.of("a", "b", "c")) {
+				boolean fetch = catchUp.fetch(router, true, true, now);
+				assertEquals(fetch, ms == 450 && router.equals("a"), router + " at " + ms + " ms");
+			}
+		}
+		catchUp.ended(false, 600_000_000L);
+		assertFalse(catchUp.fetch("b", true, true, 700_000_000L));
+		assertTrue(catchUp.fetch("b", true, true, 950_000_000L));
+	}
+
+	@Test
+	public void routerThatKnowsNoMoreIsNotAskedForItsState() {
+		CatchUp catchUp = new CatchUp();
+		assertFalse(catchUp.fetch("a", true, true, 0));
+		assertFalse(catchUp.fetch("a", false, true, 250_000_000L));
+		assertFalse(catchUp.fetch("a", true, true, 500_000_000L));
+		assertTrue(catchUp.fetch("b", true, false, 0) || catchUp.fetch("b", true, false, 200_000_000L));
+	}
+
 	@Test
 	public void retriesOfAllRoutersStayWithinTheAllowance() {
 		int retries = 0;
--- /dev/null
+++ b/server/src/test/java/org/acaciamux/internal/transport/http/PlatformHttpClientTests.java
@@ -0,0 +1,100 @@
+package org.acaciamux.internal.transport.http;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.HttpMethod;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import org.acaciamux.internal.transport.http.PlatformHttpClient.Reply;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * Guards calls whose response takes longer than the time limit of the call: routers on
+ * slow links never received a large configuration when each call was cut at a fixed time.
+ */
+public class PlatformHttpClientTests {
+
+	private static final int TIMEOUT_MS = 1_000;
+
+	private static final int PIECE_PAUSE_MS = 250;
+
+	private MultiThreadIoEventLoopGroup group;
+
+	private ServerSocket server;
+
+	private PlatformHttpClient client;
+
+	@BeforeMethod
+	public void open() throws IOException {
+		this.group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+		this.server = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
+		this.client = new PlatformHttpClient(this.group,
+				new InetSocketAddress(this.server.getInetAddress(), this.server.getLocalPort()), TIMEOUT_MS, 1);
+	}
+
+	@AfterMethod(alwaysRun = true)
+	public void close() throws IOException {
+		this.client.close();
+		this.server.close();
+		this.group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+	}
+
+	private void serve(int pieces, int length) {
+		Thread thread = new Thread(() -> {
+			try (Socket socket = this.server.accept()) {
+				OutputStream out = socket.getOutputStream();
+				out.write(("HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n")
+					.getBytes(StandardCharsets.US_ASCII));
+				for (int i = 0; i < pieces; i++) {
+					out.write('a');
+					out.flush();
+					Thread.sleep(PIECE_PAUSE_MS);
+				}
+				// Blocks until the client closes the connection.
+				while (socket.getInputStream().read() >= 0) {
+					Thread.onSpinWait();
+				}
+			}
+			catch (IOException | InterruptedException ex) {
+				// The client has closed the connection, which ends the test's server.
+			}
+		});
+		thread.setDaemon(true);
+		thread.start();
+	}
+
+	private Reply call() throws Exception {
+		return this.client.call(HttpMethod.GET, "/objects/config", new byte[0], TIMEOUT_MS)
+			.toCompletableFuture()
+			.get(60, TimeUnit.SECONDS);
+	}
+
+	@Test
+	public void responseThatKeepsArrivingIsReceivedAfterTheTimeLimit() throws Exception {
+		serve(8, 8);
+		Reply reply = call();
+		assertTrue(reply instanceof Reply.Response, reply.toString());
+		assertEquals(new String(((Reply.Response) reply).body(), StandardCharsets.US_ASCII), "aaaaaaaa");
+	}
+
+	@Test
+	public void responseThatFallsSilentIsGivenUp() throws Exception {
+		serve(2, 8);
+		Reply reply = call();
+		assertTrue(reply instanceof Reply.NoAnswer, reply.toString());
+	}
+
+}
