--- a/server/src/main/java/org/acaciamux/internal/cli/HelpText.java
+++ b/server/src/main/java/org/acaciamux/internal/cli/HelpText.java
@@ -29,8 +29,8 @@
 		lines.add("");
 		lines.add("commands:");
 		for (Command command : this.commands.values()) {
-			lines.add(String.format("  %-9s %s", command.name(), command.summary()));
-			lines.add("            example: " + command.example());
+			lines.add(String.format("  %-10s %s", command.name(), command.summary()));
+			lines.add("             example: " + command.example());
 		}
 		lines.add("");
 		lines.add("options of one command: acaciamux COMMAND --help");
