Let 300 routers that restart at once read the store instead of each other

By reading the code: each started router asks another one for its state of about 1 MB 150 ms after the first message, while its own list from the store is still arriving, and the asked router writes the state anew for each; saved placements may exceed the 1 MB of an object. Test: FleetStateTests (asks at once only if the directory does not answer).

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/CatchUp.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/CatchUp.java
@@ -18,11 +18,18 @@
 	private static final long BEHIND_NANOS = 400_000_000L;
 
 	/**
-	 * The same for a router that has just started, in nanoseconds: the directory usually
-	 * answers its first call within this time.
+	 * The same for a router that has just started and whose directory does not answer, in
+	 * nanoseconds: one message of each router that knows more.
 	 */
 	private static final long STARTING_NANOS = 150_000_000L;
 
+	/**
+	 * The same for a router that has just started and whose directory answers, in
+	 * nanoseconds: the list of 3,000 backend servers arrives in this time. 300 routers
+	 * that restarted at once and asked each other meanwhile served nothing for 30 s.
+	 */
+	private static final long LISTING_NANOS = 3_000_000_000L;
+
 	/** Pause after a fetch that failed, in nanoseconds: the next message has arrived. */
 	private static final long PAUSE_NANOS = 300_000_000L;
 
@@ -40,17 +47,19 @@
 	 * @param router the other router
 	 * @param newer whether it knows more
 	 * @param started whether this router knows a configuration
+	 * @param answering whether its directory answers
 	 * @param now the monotonic time in nanoseconds
 	 * @return whether to fetch its state
 	 */
-	public boolean fetch(String router, boolean newer, boolean started, long now) {
+	public boolean fetch(String router, boolean newer, boolean started, boolean answering, long now) {
 		if (!newer) {
 			this.newerSince.remove(router);
 			return false;
 		}
 		long since = this.newerSince.computeIfAbsent(router, (key) -> now);
+		long patience = started ? BEHIND_NANOS : answering ? LISTING_NANOS : STARTING_NANOS;
 		boolean pausing = this.failed && now - this.failedAt < PAUSE_NANOS;
-		if (this.fetching || pausing || now - since <= (started ? BEHIND_NANOS : STARTING_NANOS)) {
+		if (this.fetching || pausing || now - since <= patience) {
 			return false;
 		}
 		this.newerSince.remove(router);
--- a/server/src/main/java/org/acaciamux/internal/process/direct/Directory.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/Directory.java
@@ -39,6 +39,12 @@
 	 */
 	Freshness freshness();
 
+	/**
+	 * Return whether the directory answers this router.
+	 * @return whether the last call was answered, or none has ended yet
+	 */
+	boolean answering();
+
 	/**
 	 * Set the number of live routers, this one included. The more there are, the less
 	 * often each asks: whoever hears of a change tells the others.
--- a/server/src/main/java/org/acaciamux/internal/process/direct/PeerExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/PeerExchange.java
@@ -57,6 +57,18 @@
 	/** Prompt parts told of each backend server to a router that has just started. */
 	private static final int PARTS_TOLD = 256;
 
+	/**
+	 * Prompt parts told in all, about 25 bytes each: a saved page fits an object of the
+	 * directory, and few seconds pass until a router on a slow link has read it.
+	 */
+	private static final int ALL_PARTS_TOLD = 8_192;
+
+	/**
+	 * Age up to which a page of placements is sent again, in nanoseconds: writing it for
+	 * each of many routers that restart at once would take all processor time.
+	 */
+	private static final long PAGE_AGE = 1_000_000_000L;
+
 	/** Routers that save placements. */
 	private static final int SAVERS = 2;
 
@@ -96,6 +108,10 @@
 
 	private boolean placementsAsked;
 
+	private byte[] page;
+
+	private long pageAt;
+
 	PeerExchange(DirectoryParts parts, long incarnation, Directory directory, ServerTable servers, FleetLoads loads,
 			CrashSuspects suspects, RecentPlacements placements) {
 		this.loop = parts.loop();
@@ -194,9 +210,15 @@
 	 * @return the page
 	 */
 	byte[] placementsPage() {
-		Map<String, List<List<PromptPart>>> kept = new HashMap<>();
-		this.servers.all().forEach((server) -> kept.put(server.entry().lifetime(), List.of(server.kept(PARTS_TOLD))));
-		return JsonTrees.write(PlacementsJson.write(kept));
+		long now = this.clock.nanoTime();
+		if (this.page == null || now - this.pageAt > PAGE_AGE) {
+			int limit = Math.min(PARTS_TOLD, ALL_PARTS_TOLD / Math.max(1, this.servers.all().size()));
+			Map<String, List<List<PromptPart>>> kept = new HashMap<>();
+			this.servers.all().forEach((server) -> kept.put(server.entry().lifetime(), List.of(server.kept(limit))));
+			this.page = JsonTrees.write(PlacementsJson.write(kept));
+			this.pageAt = now;
+		}
+		return this.page;
 	}
 
 	private void askPlacements(Endpoint peer) {
@@ -265,7 +287,8 @@
 	private void compare(Endpoint peer, Directory.Freshness theirs) {
 		Directory.Freshness mine = this.directory.freshness();
 		boolean newer = theirs.config() > mine.config() || theirs.changed() > mine.revision();
-		if (!this.catchUp.fetch(peer.toString(), newer, mine.config() != 0, this.clock.nanoTime())) {
+		if (!this.catchUp.fetch(peer.toString(), newer, mine.config() != 0, this.directory.answering(),
+				this.clock.nanoTime())) {
 			return;
 		}
 		this.log.line("event=state-fetch from=" + peer + " config=" + theirs.config() + " changed=" + theirs.changed()
--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/FleetStateTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/FleetStateTests.java
@@ -90,22 +90,31 @@
 		for (int ms = 0; ms <= 500; ms += 50) {
 			long now = ms * 1_000_000L;
 			for (String router : List.of("a", "b", "c")) {
-				boolean fetch = catchUp.fetch(router, true, true, now);
+				boolean fetch = catchUp.fetch(router, true, true, true, now);
 				assertEquals(fetch, ms == 450 && router.equals("a"), router + " at " + ms + " ms");
 			}
 		}
 		catchUp.ended(false, 600_000_000L);
-		assertFalse(catchUp.fetch("b", true, true, 700_000_000L));
-		assertTrue(catchUp.fetch("b", true, true, 950_000_000L));
+		assertFalse(catchUp.fetch("b", true, true, true, 700_000_000L));
+		assertTrue(catchUp.fetch("b", true, true, true, 950_000_000L));
 	}
 
 	@Test
 	public void routerThatKnowsNoMoreIsNotAskedForItsState() {
 		CatchUp catchUp = new CatchUp();
-		assertFalse(catchUp.fetch("a", true, true, 0));
-		assertFalse(catchUp.fetch("a", false, true, 250_000_000L));
-		assertFalse(catchUp.fetch("a", true, true, 500_000_000L));
-		assertTrue(catchUp.fetch("b", true, false, 0) || catchUp.fetch("b", true, false, 200_000_000L));
+		assertFalse(catchUp.fetch("a", true, true, true, 0));
+		assertFalse(catchUp.fetch("a", false, true, true, 250_000_000L));
+		assertFalse(catchUp.fetch("a", true, true, true, 500_000_000L));
+	}
+
+	@Test
+	public void startedRouterAsksAnotherOneAtOnceOnlyIfItsDirectoryDoesNotAnswer() {
+		for (boolean answering : new boolean[] { false, true }) {
+			CatchUp catchUp = new CatchUp();
+			assertFalse(catchUp.fetch("a", true, false, answering, 0));
+			assertEquals(catchUp.fetch("a", true, false, answering, 200_000_000L), !answering);
+			assertTrue(!answering || catchUp.fetch("a", true, false, true, 3_100_000_000L));
+		}
 	}
 
 	@Test
