--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/CatchUp.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/CatchUp.java
@@ -19,7 +19,7 @@
 
 	/**
 	 * The same for a router that has just started and whose directory does not answer, in
-	 * nanoseconds: one message of each router that knows more.
+	 * nanoseconds: below the pace of messages, so the second one starts a fetch.
 	 */
 	private static final long STARTING_NANOS = 150_000_000L;
 
@@ -30,7 +30,7 @@
 	 */
 	private static final long LISTING_NANOS = 3_000_000_000L;
 
-	/** Pause after a fetch that failed, in nanoseconds: the next message has arrived. */
+	/** Pause after a fetch that failed, in nanoseconds: above the pace of messages. */
 	private static final long PAUSE_NANOS = 300_000_000L;
 
 	private final Map<String, Long> newerSince = new HashMap<>();
