State where the wait of a started router comes from

It now says what the figure is chosen for. Comment only; format and lint pass, the tests were not run again for it.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/CatchUp.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/CatchUp.java
@@ -25,8 +25,8 @@
 
 	/**
 	 * The same for a router that has just started and whose directory answers, in
-	 * nanoseconds: the list of 3,000 backend servers arrives in this time. 300 routers
-	 * that restarted at once and asked each other meanwhile served nothing for 30 s.
+	 * nanoseconds: chosen so that a long list can arrive first. 300 routers that
+	 * restarted at once and asked each other meanwhile served nothing for 30 s.
 	 */
 	private static final long LISTING_NANOS = 3_000_000_000L;
 
