Log what happens to the record of a crash

Change: CrashObserver reports each change of CrashSuspects to the log and to one counter for each kind; send-failed carries the request's fingerprint; a failed datagram is logged. No decision is changed.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/CrashSuspects.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/CrashSuspects.java
@@ -11,6 +11,8 @@
 
 import org.agrona.concurrent.NanoClock;
 
+import org.acaciamux.internal.coordination.direct.CrashObserver.Change;
+
 /**
  * Requests that were running when a backend server crashed. Guards against a request that
  * crashes every server that runs it while its caller resends it through any router.
@@ -50,12 +52,16 @@
 
 	private final NanoClock clock;
 
+	private final CrashObserver observer;
+
 	/**
 	 * Create an empty table.
 	 * @param clock the monotonic clock
+	 * @param observer learns what is recorded and forgotten
 	 */
-	public CrashSuspects(NanoClock clock) {
+	public CrashSuspects(NanoClock clock, CrashObserver observer) {
 		this.clock = clock;
+		this.observer = observer;
 	}
 
 	/**
@@ -66,12 +72,24 @@
 	 */
 	public void brokeOff(long fingerprint, String server) {
 		long now = this.clock.nanoTime();
-		this.brokenResponses.removeIf((broken) -> now - broken.at > CONFIRM_NANOS);
-		if (this.brokenResponses.size() < MAX_ENTRIES) {
+		expireBrokenResponses(now);
+		boolean full = this.brokenResponses.size() >= MAX_ENTRIES;
+		this.observer.changed(full ? Change.EVICTED : Change.SUSPECTED, fingerprint, "server=" + server);
+		if (!full) {
 			this.brokenResponses.add(new BrokenResponse(fingerprint, server, now));
 		}
 	}
 
+	private void expireBrokenResponses(long now) {
+		this.brokenResponses.removeIf((broken) -> {
+			boolean expired = now - broken.at > CONFIRM_NANOS;
+			if (expired) {
+				this.observer.changed(Change.UNCONFIRMED, broken.fingerprint, "server=" + broken.server);
+			}
+			return expired;
+		});
+	}
+
 	/**
 	 * Record that a server cannot be reached.
 	 * @param server the {@link ServerEntry#lifetime()} of the server
@@ -81,7 +99,9 @@
 		for (BrokenResponse broken : List.copyOf(this.brokenResponses)) {
 			if (broken.server.equals(server) && now - broken.at <= CONFIRM_NANOS) {
 				this.brokenResponses.remove(broken);
-				recordCrash(broken.fingerprint, server);
+				int crashes = recordCrash(broken.fingerprint, server);
+				this.observer.changed(Change.CONFIRMED, broken.fingerprint,
+						"server=" + server + " crashes=" + crashes + " afterMs=" + (now - broken.at) / NANOS_PER_MS);
 			}
 		}
 	}
@@ -98,7 +118,7 @@
 		suspect.at = this.clock.nanoTime();
 		Iterator<Long> eldest = this.suspects.keySet().iterator();
 		while (this.suspects.size() > MAX_ENTRIES) {
-			eldest.next();
+			this.observer.changed(Change.EVICTED, eldest.next(), "entries=" + this.suspects.size());
 			eldest.remove();
 		}
 		return suspect.servers.size();
@@ -118,10 +138,12 @@
 			return;
 		}
 		for (String server : crashes.servers()) {
-			Suspect known = this.suspects.get(fingerprint);
-			if (known == null || !known.servers.contains(server)) {
-				recordCrash(fingerprint, server);
+			Suspect suspect = this.suspects.get(fingerprint);
+			if (suspect == null || !suspect.servers.contains(server)) {
+				int known = recordCrash(fingerprint, server);
 				this.suspects.get(fingerprint).at = at;
+				this.observer.changed(Change.LEARNED, fingerprint,
+						"server=" + server + " crashes=" + known + " ageMs=" + crashes.ageMs());
 			}
 		}
 	}
@@ -131,9 +153,11 @@
 	 * @param fingerprint the request's fingerprint
 	 */
 	public void completed(long fingerprint) {
-		if (this.suspects.remove(fingerprint) == null) {
+		Suspect suspect = this.suspects.remove(fingerprint);
+		if (suspect == null) {
 			return;
 		}
+		this.observer.changed(Change.CLEARED, fingerprint, "crashes=" + suspect.servers.size());
 		this.cleared.put(fingerprint, this.clock.nanoTime());
 		Iterator<Long> eldest = this.cleared.keySet().iterator();
 		while (this.cleared.size() > MAX_ENTRIES) {
--- a/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
@@ -111,13 +111,17 @@
 		this.loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
 		this.servers = new ServerTable(this.clock);
 		this.loads = new FleetLoads(this.clock);
-		CrashSuspects suspects = new CrashSuspects(this.clock);
+		DirectMetrics metrics = new DirectMetrics(this.registry);
+		CrashSuspects suspects = new CrashSuspects(this.clock, (change, fingerprint, detail) -> {
+			metrics.crash(change);
+			log.line("event=" + change.label() + " fingerprint=" + Long.toHexString(fingerprint) + " " + detail);
+		});
 		Placement placement = new Placement(this.servers,
 				new PlacementSettings(settings.promptTokensPerMs(), settings.stepMicrosPerRequest() / MICROS_PER_MS),
 				this.clock);
 		RetryBudgets budgets = new RetryBudgets(settings.retryRatio(), settings.retryAllowance());
 		this.context = new DirectContext(this.loop, this.clock, format, this.servers, placement, budgets, suspects,
-				new DirectMetrics(this.registry), log);
+				metrics, log);
 		this.frontend = new DirectFrontend(this.context);
 		DirectoryParts parts = new DirectoryParts(settings, this.loop, this.clock, log);
 		this.directory = directories.create(parts).orElseThrow();
--- a/server/src/main/java/org/acaciamux/internal/process/direct/PeerExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/PeerExchange.java
@@ -175,13 +175,21 @@
 				this.leaving, this.directory.freshness(), inFlight, this.suspects.crashes(), this.placements.drain())
 			.encode();
 		for (Peer peer : ExchangePolicy.receivers(this.peers.values(), this.random)) {
-			this.channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), peer.address));
+			this.channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), peer.address))
+				.addListener((ChannelFuture sent) -> logFailedSend(peer, bytes.length, sent));
 		}
 		this.channel.flush();
 		this.loads.routers(this.peers.size());
 		this.servers.peersInFlight(this.loads.inFlight());
 	}
 
+	private void logFailedSend(Peer peer, int bytes, ChannelFuture sent) {
+		if (!sent.isSuccess()) {
+			this.log.line("event=peer-send-failed peer=" + peer.address + " bytes=" + bytes + " reason=\""
+					+ sent.cause() + "\"");
+		}
+	}
+
 	void leave() {
 		this.leaving = true;
 		send();
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
@@ -160,7 +160,8 @@
 		this.fingerprint = StableHash.of(this.request.uri(), this.request.key().orElse(""))
 				^ (this.body.isReadable() ? this.body.hashCode() * 0x9E3779B97F4A7C15L : 0);
 		if (this.context.suspects().shouldRefuse(this.fingerprint)) {
-			refuse("the request was running at several servers when they crashed");
+			refuse("request " + Long.toHexString(this.fingerprint)
+					+ " was running at several servers when they crashed");
 			return;
 		}
 		send();
@@ -304,7 +305,7 @@
 		if (result == SendResult.BROKEN) {
 			this.context.suspects().brokeOff(this.fingerprint, this.server.entry().lifetime());
 		}
-		this.log.sendFailed(result, this.server.entry().id(), reason);
+		this.log.sendFailed(result, this.server.entry().id(), this.fingerprint, reason);
 		releaseServer();
 		Decision decision = this.policy.after(result, relayStarted());
 		if (decision != Decision.SEND_AGAIN) {
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectMetrics.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectMetrics.java
@@ -7,6 +7,8 @@
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.SlidingWindowReservoir;
 
+import org.acaciamux.internal.coordination.direct.CrashObserver;
+
 /**
  * Counters and histograms of a router without agents. Thread-safe.
  */
@@ -72,6 +74,14 @@
 		this.resumes.inc();
 	}
 
+	/**
+	 * Count a change of the records of crashes.
+	 * @param change the change
+	 */
+	public void crash(CrashObserver.Change change) {
+		this.registry.counter(PREFIX + change.label()).inc();
+	}
+
 	void firstByte(long ms) {
 		this.firstByteMs.update(ms);
 	}
--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/FleetStateTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/FleetStateTests.java
@@ -135,7 +135,7 @@
 
 	@Test
 	public void requestIsRefusedAfterThreeServersCrashedWithIt() {
-		CrashSuspects suspects = new CrashSuspects(this.clock);
+		CrashSuspects suspects = new CrashSuspects(this.clock, CrashObserver.NONE);
 		suspects.recordCrash(7, "a");
 		suspects.recordCrash(7, "a");
 		suspects.recordCrash(7, "b");
@@ -146,7 +146,7 @@
 
 	@Test
 	public void completedRequestIsNoLongerSuspect() {
-		CrashSuspects suspects = new CrashSuspects(this.clock);
+		CrashSuspects suspects = new CrashSuspects(this.clock, CrashObserver.NONE);
 		for (String server : List.of("a", "b", "c")) {
 			suspects.recordCrash(7, server);
 		}
@@ -161,7 +161,7 @@
 	 */
 	@Test
 	public void oldCrashesReportedByOthersAreIgnoredAfterACompletion() {
-		CrashSuspects suspects = new CrashSuspects(this.clock);
+		CrashSuspects suspects = new CrashSuspects(this.clock, CrashObserver.NONE);
 		suspects.recordCrash(7, "a");
 		this.clock.advance(1_000);
 		suspects.completed(7);
@@ -171,7 +171,7 @@
 
 	@Test
 	public void brokenResponseOfAReachableServerIsNoCrash() {
-		CrashSuspects suspects = new CrashSuspects(this.clock);
+		CrashSuspects suspects = new CrashSuspects(this.clock, CrashObserver.NONE);
 		for (String server : List.of("a", "b", "c")) {
 			suspects.brokeOff(7, server);
 		}
@@ -184,7 +184,7 @@
 
 	@Test
 	public void expiredCrashesDoNotCirculate() {
-		CrashSuspects suspects = new CrashSuspects(this.clock);
+		CrashSuspects suspects = new CrashSuspects(this.clock, CrashObserver.NONE);
 		suspects.merge(7, new CrashSuspects.Crashes(Set.of("a", "b", "c"), 61_000));
 		assertFalse(suspects.shouldRefuse(7));
 		assertTrue(suspects.crashes().isEmpty());
