--- /dev/null
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/CrashSuspectsTests.java
@@ -0,0 +1,104 @@
+package org.acaciamux.internal.coordination.direct;
+
+import java.util.List;
+import java.util.Set;
+
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * Guards against a request that keeps crashing servers because the record of its crashes
+ * was lost.
+ */
+public class CrashSuspectsTests {
+
+	private static final long CRASHING = 7;
+
+	private final ManualClock clock = new ManualClock();
+
+	private CrashSuspects suspects() {
+		return new CrashSuspects(this.clock, CrashObserver.NONE);
+	}
+
+	/**
+	 * All requests of a loaded server are recorded when it crashes.
+	 */
+	@Test
+	public void requestsThatCrashedOnceDoNotEvictTheOneThatCausesTheCrashes() {
+		CrashSuspects suspects = suspects();
+		long other = 1_000;
+		for (String server : List.of("a", "b", "c")) {
+			for (int i = 0; i < 200; i++) {
+				suspects.brokeOff(other++, server);
+			}
+			suspects.brokeOff(CRASHING, server);
+			suspects.unreachable(server);
+			this.clock.advance(1_000);
+		}
+		assertTrue(suspects.shouldRefuse(CRASHING));
+	}
+
+	@Test
+	public void moreBrokenResponsesThanFitDoNotHideTheOneThatCausesTheCrashes() {
+		CrashSuspects suspects = suspects();
+		long other = 1_000;
+		for (String server : List.of("a", "b", "c")) {
+			for (int i = 0; i < 400; i++) {
+				suspects.brokeOff(other++, server);
+			}
+			suspects.brokeOff(CRASHING, server);
+			suspects.unreachable(server);
+			this.clock.advance(1_000);
+		}
+		assertTrue(suspects.shouldRefuse(CRASHING));
+	}
+
+	/**
+	 * A message about an older crash that was unknown here must not make the newer
+	 * crashes expire with it.
+	 */
+	@Test
+	public void olderCrashOfAnotherRouterDoesNotAgeTheNewerOnes() {
+		CrashSuspects suspects = suspects();
+		for (String server : List.of("a", "b", "c")) {
+			suspects.recordCrash(CRASHING, server);
+		}
+		suspects.merge(CRASHING, new CrashSuspects.Crashes(Set.of("d"), 59_000));
+		this.clock.advance(2_000);
+		assertTrue(suspects.shouldRefuse(CRASHING));
+	}
+
+	/**
+	 * Callers resend within minutes, not only within seconds.
+	 */
+	@Test
+	public void requestResentEveryTwoMinutesIsRefused() {
+		CrashSuspects suspects = suspects();
+		for (String server : List.of("a", "b", "c")) {
+			suspects.recordCrash(CRASHING, server);
+			this.clock.advance(120_000);
+		}
+		assertTrue(suspects.shouldRefuse(CRASHING));
+	}
+
+	/**
+	 * A popular request is running whenever a server fails. A router that has not run it
+	 * since would refuse it although it completes at the others.
+	 */
+	@Test
+	public void completionAtAnotherRouterClearsTheCrashes() {
+		CrashSuspects completing = suspects();
+		CrashSuspects refusing = suspects();
+		for (String server : List.of("a", "b", "c")) {
+			refusing.recordCrash(CRASHING, server);
+		}
+		refusing.crashes().forEach(completing::merge);
+		this.clock.advance(100);
+		completing.completed(CRASHING);
+		completing.crashes().forEach(refusing::merge);
+		assertFalse(refusing.shouldRefuse(CRASHING));
+	}
+
+}
