Do not count a used-up share of connections as a failure of the server

What callers saw: a request could be refused as the cause of a crash, and a healthy server was avoided, while the router had all its connections to that server in use. Cause: every missing connection was taken for a server that cannot be reached, which confirms a crash for the requests that broke off there. Change: ServerChannels says whether the server failed to accept a connection; only that counts.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
@@ -200,15 +200,17 @@
 		this.context.channels().acquire(this.server, limit, (result) -> acquired(requestedAcquisition, result));
 	}
 
-	private void acquired(int requestedAcquisition, Either<String, ServerChannel> result) {
+	private void acquired(int requestedAcquisition, Either<ServerChannels.Unavailable, ServerChannel> result) {
 		if (requestedAcquisition != this.acquisitionNumber || this.ended) {
 			result.forEach((unusedChannel) -> this.context.channels().release(unusedChannel));
 			return;
 		}
 		if (result.isLeft()) {
-			this.server.failedToReach(this.context.now());
-			this.context.suspects().unreachable(this.server.entry().lifetime());
-			broken(SendResult.NOT_SENT, result.getLeft());
+			if (result.getLeft().unreachable()) {
+				this.server.failedToReach(this.context.now());
+				this.context.suspects().unreachable(this.server.entry().lifetime());
+			}
+			broken(SendResult.NOT_SENT, result.getLeft().reason());
 			return;
 		}
 		long now = this.context.now();
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannels.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannels.java
@@ -66,7 +66,7 @@
 	 * @param maxConnections connections that the server accepts from all routers
 	 * @param action receives the connection, or the reason why there is none
 	 */
-	void acquire(ServerState server, int maxConnections, Consumer<Either<String, ServerChannel>> action) {
+	void acquire(ServerState server, int maxConnections, Consumer<Either<Unavailable, ServerChannel>> action) {
 		String id = server.entry().id();
 		Pool pool = this.pools.computeIfAbsent(id, (key) -> new Pool());
 		ServerChannel idle = pool.poll(now());
@@ -75,7 +75,8 @@
 			return;
 		}
 		if (pool.open >= this.connectionShare.applyAsInt(maxConnections)) {
-			action.accept(Either.left("this router's share of the server's connections is in use"));
+			action.accept(
+					Either.left(new Unavailable(false, "this router's share of the server's connections is in use")));
 			return;
 		}
 		pool.open++;
@@ -84,7 +85,7 @@
 		connect(server, handler).addListener((ChannelFuture connected) -> {
 			if (!connected.isSuccess()) {
 				pool.open--;
-				action.accept(Either.left("cannot connect: " + connected.cause().getMessage()));
+				action.accept(Either.left(new Unavailable(true, "cannot connect: " + connected.cause().getMessage())));
 				return;
 			}
 			action.accept(Either.right(handler));
@@ -154,6 +155,15 @@
 		return this.clock.nanoTime();
 	}
 
+	/**
+	 * Why there is no connection.
+	 *
+	 * @param unreachable whether the server did not accept one
+	 * @param reason the cause, for the log
+	 */
+	record Unavailable(boolean unreachable, String reason) {
+	}
+
 	private static final class Pool {
 
 		private final Deque<ServerChannel> idle = new ArrayDeque<>();
