Check whether a server crashed when a response of it broke off

What callers saw: a request that crashes its servers was sent to one server after the other. Cause: a broken response counted as a crash only if the same router failed to connect to that server within 3 s. Placement avoids a server after a broken response, so a router with other servers to choose from does not connect, and the crash is never recorded. Change: 0.1 s after a broken response CrashCheck looks for a connection that outlived it, and otherwise opens one; a refused or timed-out connection confirms the crash. At most one check of a server at a time.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectContext.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectContext.java
@@ -15,6 +15,7 @@
 import org.acaciamux.internal.coordination.direct.RecentPlacements;
 import org.acaciamux.internal.coordination.direct.RetryBudgets;
 import org.acaciamux.internal.coordination.direct.ServerTable;
+import org.acaciamux.internal.coordination.direct.ServiceSpec;
 import org.acaciamux.internal.coordination.direct.TrafficConfig;
 import org.acaciamux.internal.event.DecisionLog;
 
@@ -41,6 +42,8 @@
 
 	private final CrashSuspects suspects;
 
+	private final CrashCheck crashCheck;
+
 	private final DirectMetrics metrics;
 
 	private final DecisionLog log;
@@ -80,6 +83,7 @@
 		this.placement = placement;
 		this.budgets = budgets;
 		this.suspects = suspects;
+		this.crashCheck = new CrashCheck(this);
 		this.metrics = metrics;
 		this.log = log;
 		this.admission = new Admission(clock);
@@ -235,6 +239,19 @@
 		return this.suspects;
 	}
 
+	CrashCheck crashCheck() {
+		return this.crashCheck;
+	}
+
+	/**
+	 * Return the number of connections that a server of a service accepts.
+	 * @param service the service
+	 * @return the number of connections from all routers
+	 */
+	int maxConnections(String service) {
+		return this.config.flatMap((config) -> config.service(service)).map(ServiceSpec::maxConnections).orElse(1);
+	}
+
 	DirectMetrics metrics() {
 		return this.metrics;
 	}
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
@@ -24,7 +24,6 @@
 import org.acaciamux.internal.coordination.direct.SendResult;
 import org.acaciamux.internal.coordination.direct.ServerState;
 import org.acaciamux.internal.coordination.direct.ServiceRoute;
-import org.acaciamux.internal.coordination.direct.ServiceSpec;
 import org.acaciamux.internal.coordination.direct.SilencePolicy;
 import org.acaciamux.internal.coordination.direct.TrafficConfig;
 import org.acaciamux.internal.state.StableHash;
@@ -186,10 +185,6 @@
 		}
 		this.server = chosen.get();
 		this.tried.add(this.server.entry().id());
-		int limit = this.context.config()
-			.flatMap((config) -> config.service(this.service))
-			.map(ServiceSpec::maxConnections)
-			.orElse(1);
 		this.log.sent(this.server.describe(this.request.prompt(), this.context.now()));
 		int requestedAcquisition = ++this.acquisitionNumber;
 		this.promptSource = this.context.placement()
@@ -197,7 +192,9 @@
 			.map((source) -> source.entry().address());
 		this.pendingTokens = this.server.started(this.request.prompt());
 		this.sentAt = 0;
-		this.context.channels().acquire(this.server, limit, (result) -> acquired(requestedAcquisition, result));
+		this.context.channels()
+			.acquire(this.server, this.context.maxConnections(this.service),
+					(result) -> acquired(requestedAcquisition, result));
 	}
 
 	private void acquired(int requestedAcquisition, Either<ServerChannels.Unavailable, ServerChannel> result) {
@@ -305,7 +302,7 @@
 			this.server.recordResult(true);
 		}
 		if (result == SendResult.BROKEN) {
-			this.context.suspects().brokeOff(this.fingerprint, this.server.entry().lifetime());
+			this.context.crashCheck().brokeOff(this.fingerprint, this.server);
 		}
 		this.log.sendFailed(result, this.server.entry().id(), this.fingerprint, reason);
 		releaseServer();
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannels.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannels.java
@@ -67,20 +67,34 @@
 	 * @param action receives the connection, or the reason why there is none
 	 */
 	void acquire(ServerState server, int maxConnections, Consumer<Either<Unavailable, ServerChannel>> action) {
-		String id = server.entry().id();
-		Pool pool = this.pools.computeIfAbsent(id, (key) -> new Pool());
+		Pool pool = this.pools.computeIfAbsent(server.entry().id(), (key) -> new Pool());
 		ServerChannel idle = pool.poll(now());
 		if (idle != null) {
 			action.accept(Either.right(idle));
 			return;
 		}
+		open(server, pool, maxConnections, action);
+	}
+
+	/**
+	 * Open a connection even if one is idle.
+	 * @param server the server
+	 * @param maxConnections connections that the server accepts from all routers
+	 * @param action receives the connection, or the reason why there is none
+	 */
+	void open(ServerState server, int maxConnections, Consumer<Either<Unavailable, ServerChannel>> action) {
+		open(server, this.pools.computeIfAbsent(server.entry().id(), (key) -> new Pool()), maxConnections, action);
+	}
+
+	private void open(ServerState server, Pool pool, int maxConnections,
+			Consumer<Either<Unavailable, ServerChannel>> action) {
 		if (pool.open >= this.connectionShare.applyAsInt(maxConnections)) {
 			action.accept(
 					Either.left(new Unavailable(false, "this router's share of the server's connections is in use")));
 			return;
 		}
 		pool.open++;
-		ServerChannel handler = new ServerChannel(this, id, this.format);
+		ServerChannel handler = new ServerChannel(this, server.entry().id(), this.format);
 		this.metrics.connection();
 		connect(server, handler).addListener((ChannelFuture connected) -> {
 			if (!connected.isSuccess()) {
@@ -88,10 +102,23 @@
 				action.accept(Either.left(new Unavailable(true, "cannot connect: " + connected.cause().getMessage())));
 				return;
 			}
+			pool.connected.put(handler, now());
 			action.accept(Either.right(handler));
 		});
 	}
 
+	/**
+	 * Return whether a connection that was open at a given time still is. A process that
+	 * ends closes all its connections.
+	 * @param serverId the server's id
+	 * @param at the monotonic time in nanoseconds
+	 * @return whether such a connection exists
+	 */
+	boolean openSince(String serverId, long at) {
+		Pool pool = this.pools.get(serverId);
+		return pool != null && pool.connected.values().stream().anyMatch((openedAt) -> openedAt - at < 0);
+	}
+
 	private ChannelFuture connect(ServerState server, ServerChannel handler) {
 		return new Bootstrap().group(this.loop)
 			.channel(NioSocketChannel.class)
@@ -120,6 +147,7 @@
 		if (pool != null) {
 			pool.open--;
 			pool.idle.remove(channel);
+			pool.connected.remove(channel);
 		}
 	}
 
@@ -168,6 +196,9 @@
 
 		private final Deque<ServerChannel> idle = new ArrayDeque<>();
 
+		/** Open connections and when they were opened. */
+		private final Map<ServerChannel, Long> connected = new HashMap<>();
+
 		private int open;
 
 		ServerChannel poll(long now) {
