Count a crash that only the directory or another server shows

What callers saw: a request that crashes its servers was sent on, when the platform restarted each server before a router tried to connect to it. Cause: only a failed connection confirmed a crash. A server that restarts within milliseconds accepts connections whenever a router tries. Change: the end of a lifetime without notice confirms the crash too: a restart under the same id or a removal while not draining in the directory, and a 421 from the server that has the address now. A broken response waits 5 s for it, because the directory removes a silent server late.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/CrashSuspects.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/CrashSuspects.java
@@ -36,10 +36,10 @@
 	private static final long KEEP_NANOS = 60_000_000_000L;
 
 	/**
-	 * Time after a broken response in which an unreachable server counts as crashed, in
-	 * nanoseconds.
+	 * Time after a broken response in which the end of its server's lifetime counts as a
+	 * crash, in nanoseconds: the directory removes a server after up to 5 s of silence.
 	 */
-	private static final long CONFIRM_NANOS = 3_000_000_000L;
+	private static final long CONFIRM_NANOS = 5_000_000_000L;
 
 	private static final long NANOS_PER_MS = 1_000_000;
 
@@ -65,8 +65,8 @@
 	}
 
 	/**
-	 * Record that a response broke off. It counts as a crash only if the server cannot be
-	 * reached soon after, because a response can also break off without a crash.
+	 * Record that a response broke off. It counts as a crash only if the server's
+	 * lifetime ends soon after, because a response can also break off without a crash.
 	 * @param fingerprint the request's fingerprint
 	 * @param server the {@link ServerEntry#lifetime()} of the server
 	 */
@@ -91,10 +91,11 @@
 	}
 
 	/**
-	 * Record that a server cannot be reached.
+	 * Record that a server's lifetime ended without notice: it cannot be reached, its
+	 * directory entry shows a restart or is gone, or another server answers in its place.
 	 * @param server the {@link ServerEntry#lifetime()} of the server
 	 */
-	public void unreachable(String server) {
+	public void lifetimeEnded(String server) {
 		long now = this.clock.nanoTime();
 		for (BrokenResponse broken : List.copyOf(this.brokenResponses)) {
 			if (broken.server.equals(server) && now - broken.at <= CONFIRM_NANOS) {
--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/ServerState.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/ServerState.java
@@ -1,6 +1,7 @@
 package org.acaciamux.internal.coordination.direct;
 
 import java.util.List;
+import java.util.Optional;
 
 import org.acaciamux.internal.state.StableHash;
 
@@ -71,8 +72,22 @@
 		this.cache.capacity(tokens);
 	}
 
+	/**
+	 * Return whether the next entry shows that this lifetime ended without notice.
+	 * @param next the next entry of the same id, empty if the id is no longer listed
+	 * @return whether it ended
+	 */
+	boolean endsWith(Optional<ServerEntry> next) {
+		return next.map((entry) -> restarted(entry) && this.entry.startedMs() != 0 && entry.startedMs() != 0)
+			.orElse(!this.entry.draining());
+	}
+
+	private boolean restarted(ServerEntry next) {
+		return next.startedMs() != this.entry.startedMs();
+	}
+
 	void update(ServerEntry next) {
-		boolean restarted = next.startedMs() != this.entry.startedMs();
+		boolean restarted = restarted(next);
 		this.entry = next;
 		if (restarted) {
 			this.cache.clear();
--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/ServerTable.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/ServerTable.java
@@ -44,11 +44,19 @@
 	/**
 	 * Replace the entries of all servers.
 	 * @param entries the entries by id
+	 * @return lifetimes that ended without notice: the server restarted under its id, or
+	 * was removed while it was not draining
 	 */
-	public void replace(Map<String, ServerEntry> entries) {
+	public List<String> replace(Map<String, ServerEntry> entries) {
+		List<String> ended = this.servers.values()
+			.stream()
+			.filter((server) -> server.endsWith(Optional.ofNullable(entries.get(server.entry().id()))))
+			.map((server) -> server.entry().lifetime())
+			.toList();
 		this.servers.keySet().retainAll(entries.keySet());
 		entries.values().forEach(this::store);
 		index();
+		return ended;
 	}
 
 	private void store(ServerEntry entry) {
--- a/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
@@ -80,6 +80,8 @@
 
 	private final ServerTable servers;
 
+	private final CrashSuspects suspects;
+
 	private final DirectContext context;
 
 	private final DirectFrontend frontend;
@@ -112,7 +114,7 @@
 		this.servers = new ServerTable(this.clock);
 		this.loads = new FleetLoads(this.clock);
 		DirectMetrics metrics = new DirectMetrics(this.registry);
-		CrashSuspects suspects = new CrashSuspects(this.clock, (change, fingerprint, detail) -> {
+		this.suspects = new CrashSuspects(this.clock, (change, fingerprint, detail) -> {
 			metrics.crash(change);
 			log.line("event=" + change.label() + " fingerprint=" + Long.toHexString(fingerprint) + " " + detail);
 		});
@@ -120,13 +122,13 @@
 				new PlacementSettings(settings.promptTokensPerMs(), settings.stepMicrosPerRequest() / MICROS_PER_MS),
 				this.clock);
 		RetryBudgets budgets = new RetryBudgets(settings.retryRatio(), settings.retryAllowance());
-		this.context = new DirectContext(this.loop, this.clock, format, this.servers, placement, budgets, suspects,
+		this.context = new DirectContext(this.loop, this.clock, format, this.servers, placement, budgets, this.suspects,
 				metrics, log);
 		this.frontend = new DirectFrontend(this.context);
 		DirectoryParts parts = new DirectoryParts(settings, this.loop, this.clock, log);
 		this.directory = directories.create(parts).orElseThrow();
-		this.peers = new PeerExchange(parts, this.clock.nanoTime(), this.directory, this.servers, this.loads, suspects,
-				this.context.placements());
+		this.peers = new PeerExchange(parts, this.clock.nanoTime(), this.directory, this.servers, this.loads,
+				this.suspects, this.context.placements());
 	}
 
 	/**
@@ -217,7 +219,8 @@
 
 	@Override
 	public void servers(List<ServerEntry> entries) {
-		this.servers.replace(entries.stream().collect(Collectors.toMap(ServerEntry::id, Function.identity())));
+		this.servers.replace(entries.stream().collect(Collectors.toMap(ServerEntry::id, Function.identity())))
+			.forEach(this.suspects::lifetimeEnded);
 		this.context.serversKnown();
 	}
 
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/CrashCheck.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/CrashCheck.java
@@ -52,7 +52,7 @@
 			result.forEach(this.context.channels()::release);
 			if (result.isLeft() && result.getLeft().unreachable()) {
 				server.failedToReach(this.context.now());
-				this.context.suspects().unreachable(lifetime);
+				this.context.suspects().lifetimeEnded(lifetime);
 			}
 		});
 	}
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
@@ -205,7 +205,7 @@
 		if (result.isLeft()) {
 			if (result.getLeft().unreachable()) {
 				this.server.failedToReach(this.context.now());
-				this.context.suspects().unreachable(this.server.entry().lifetime());
+				this.context.suspects().lifetimeEnded(this.server.entry().lifetime());
 			}
 			broken(SendResult.NOT_SENT, result.getLeft().reason());
 			return;
@@ -240,6 +240,9 @@
 		int status = head.status().code();
 		Optional<SendResult> unusable = ResponsePolicy.unusable(status, reply.notRun(),
 				reply.sealed() && !reply.encoded(), this.route.repeatable(), relayStarted());
+		if (status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
+			this.context.suspects().lifetimeEnded(this.server.entry().lifetime());
+		}
 		if (unusable.isPresent()) {
 			abandonSend(unusable.get(), "status " + status + (reply.notRun() ? ", not run" : ""));
 			return;
--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/CrashSuspectsTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/CrashSuspectsTests.java
@@ -34,7 +34,7 @@
 				suspects.brokeOff(other++, server);
 			}
 			suspects.brokeOff(CRASHING, server);
-			suspects.unreachable(server);
+			suspects.lifetimeEnded(server);
 			this.clock.advance(1_000);
 		}
 		assertTrue(suspects.shouldRefuse(CRASHING));
@@ -49,7 +49,7 @@
 				suspects.brokeOff(other++, server);
 			}
 			suspects.brokeOff(CRASHING, server);
-			suspects.unreachable(server);
+			suspects.lifetimeEnded(server);
 			this.clock.advance(1_000);
 		}
 		assertTrue(suspects.shouldRefuse(CRASHING));
--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/FleetStateTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/FleetStateTests.java
@@ -177,7 +177,7 @@
 		}
 		assertFalse(suspects.shouldRefuse(7));
 		for (String server : List.of("a", "b", "c")) {
-			suspects.unreachable(server);
+			suspects.lifetimeEnded(server);
 		}
 		assertTrue(suspects.shouldRefuse(7));
 	}
--- a/server/src/test/java/org/acaciamux/internal/process/direct/PeerMessageTests.java
+++ b/server/src/test/java/org/acaciamux/internal/process/direct/PeerMessageTests.java
@@ -32,7 +32,7 @@
 			for (long request = 0; request < ENTRIES; request++) {
 				sender.brokeOff(Long.MIN_VALUE + request, lifetime);
 			}
-			sender.unreachable(lifetime);
+			sender.lifetimeEnded(lifetime);
 		}
 		for (int i = 0; i < MESSAGES; i++) {
 			byte[] bytes = new PeerMessage("r-1", "10.0.0.1:7340", 1, i, false, new Directory.Freshness(1, 1, 1, 0),
