Count a second crash of a server that is listed as before

What callers saw: in a small service, a request that crashes its servers was sent to the same servers again after they had restarted. Cause: crashes were told apart by the lifetime in the directory, which lists a restart later than the server accepts connections, and not at all while the store is away. A second crash of the server counted as the first. Change: ServerState counts the outages between refused and accepted connections, and the crash is recorded under the lifetime and that count. Measured: secondCrashOfAServerThatIsListedUnderItsFormerLifetimeCounts fails before (crash-confirmed with crashes=1 three times) and passes after.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/CrashSuspects.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/CrashSuspects.java
@@ -68,7 +68,7 @@
 	 * Record that a response broke off. It counts as a crash only if the server's
 	 * lifetime ends soon after, because a response can also break off without a crash.
 	 * @param fingerprint the request's fingerprint
-	 * @param server the {@link ServerEntry#lifetime()} of the server
+	 * @param server the {@link ServerState#observedLifetime()} of the server
 	 */
 	public void brokeOff(long fingerprint, String server) {
 		long now = this.clock.nanoTime();
@@ -93,7 +93,7 @@
 	/**
 	 * Record that a server's lifetime ended without notice: it cannot be reached, its
 	 * directory entry shows a restart or is gone, or another server answers in its place.
-	 * @param server the {@link ServerEntry#lifetime()} of the server
+	 * @param server the {@link ServerState#observedLifetime()} of the server
 	 */
 	public void lifetimeEnded(String server) {
 		long now = this.clock.nanoTime();
@@ -110,7 +110,7 @@
 	/**
 	 * Record that a request was running when a server crashed.
 	 * @param fingerprint the request's fingerprint
-	 * @param server the {@link ServerEntry#lifetime()} of the server
+	 * @param server the {@link ServerState#observedLifetime()} of the server
 	 * @return how many crashed servers are known for the request
 	 */
 	int recordCrash(long fingerprint, String server) {
--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/ServerState.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/ServerState.java
@@ -59,6 +59,10 @@
 
 	private boolean suspect;
 
+	private boolean refusing;
+
+	private int outages;
+
 	private long lastReceivedAt;
 
 	ServerState(ServerEntry entry, long memoryTokens, long now) {
@@ -95,6 +99,8 @@
 			this.failuresToReach = 0;
 			this.suspect = false;
 			this.failureShare = 0;
+			this.refusing = false;
+			this.outages = 0;
 		}
 	}
 
@@ -210,6 +216,33 @@
 		return suspicion;
 	}
 
+	/**
+	 * Record that the server did not accept a connection.
+	 * @param now the monotonic time in nanoseconds
+	 */
+	public void refusedConnection(long now) {
+		this.refusing = true;
+		failedToReach(now);
+	}
+
+	/**
+	 * Record that the server accepted a connection.
+	 */
+	public void acceptedConnection() {
+		this.outages += this.refusing ? 1 : 0;
+		this.refusing = false;
+	}
+
+	/**
+	 * Return what identifies this lifetime of the server as far as this router can tell:
+	 * the directory lists a restart later than the server accepts connections again.
+	 * @return the lifetime of the directory entry, and the number of times that the
+	 * server refused connections in between
+	 */
+	public String observedLifetime() {
+		return (this.outages == 0) ? this.entry.lifetime() : this.entry.lifetime() + "#" + this.outages;
+	}
+
 	boolean suspect(long now) {
 		return this.suspect && this.suspectUntil - now > 0;
 	}
--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/ServerTable.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/ServerTable.java
@@ -51,7 +51,7 @@
 		List<String> ended = this.servers.values()
 			.stream()
 			.filter((server) -> server.endsWith(Optional.ofNullable(entries.get(server.entry().id()))))
-			.map((server) -> server.entry().lifetime())
+			.map(ServerState::observedLifetime)
 			.toList();
 		this.servers.keySet().retainAll(entries.keySet());
 		entries.values().forEach(this::store);
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/CrashCheck.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/CrashCheck.java
@@ -33,11 +33,11 @@
 	 * @param server the server
 	 */
 	void brokeOff(long fingerprint, ServerState server) {
-		this.context.suspects().brokeOff(fingerprint, server.entry().lifetime());
+		String lifetime = server.observedLifetime();
+		this.context.suspects().brokeOff(fingerprint, lifetime);
 		long brokeAt = this.context.now();
-		if (this.checking.add(server.entry().lifetime())) {
-			this.context.loop()
-				.schedule(() -> check(server, server.entry().lifetime(), brokeAt), DELAY_MS, TimeUnit.MILLISECONDS);
+		if (this.checking.add(lifetime)) {
+			this.context.loop().schedule(() -> check(server, lifetime, brokeAt), DELAY_MS, TimeUnit.MILLISECONDS);
 		}
 	}
 
@@ -51,7 +51,6 @@
 			this.checking.remove(lifetime);
 			result.forEach(this.context.channels()::release);
 			if (result.isLeft() && result.getLeft().unreachable()) {
-				server.failedToReach(this.context.now());
 				this.context.suspects().lifetimeEnded(lifetime);
 			}
 		});
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
@@ -204,8 +204,7 @@
 		}
 		if (result.isLeft()) {
 			if (result.getLeft().unreachable()) {
-				this.server.failedToReach(this.context.now());
-				this.context.suspects().lifetimeEnded(this.server.entry().lifetime());
+				this.context.suspects().lifetimeEnded(this.server.observedLifetime());
 			}
 			broken(SendResult.NOT_SENT, result.getLeft().reason());
 			return;
@@ -241,7 +240,7 @@
 		Optional<SendResult> unusable = ResponsePolicy.unusable(status, reply.notRun(),
 				reply.sealed() && !reply.encoded(), this.route.repeatable(), relayStarted());
 		if (status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
-			this.context.suspects().lifetimeEnded(this.server.entry().lifetime());
+			this.context.suspects().lifetimeEnded(this.server.observedLifetime());
 		}
 		if (unusable.isPresent()) {
 			abandonSend(unusable.get(), "status " + status + (reply.notRun() ? ", not run" : ""));
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannels.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannels.java
@@ -99,9 +99,11 @@
 		connect(server, handler).addListener((ChannelFuture connected) -> {
 			if (!connected.isSuccess()) {
 				pool.open--;
+				server.refusedConnection(now());
 				action.accept(Either.left(new Unavailable(true, "cannot connect: " + connected.cause().getMessage())));
 				return;
 			}
+			server.acceptedConnection();
 			pool.connected.put(handler, now());
 			action.accept(Either.right(handler));
 		});
