Keep the crashes of a request that was answered with a failure

What callers saw: a request that crashes its servers was sent to three more whenever one of them, or a server that fails part of its requests, answered it with a 500. Cause: every complete response counted as a completion and cleared the crashes. A failure does not prove that the server ran the request to its end. Change: only a response below 500 clears them. Measured: failureResponseDoesNotClearTheCrashes fails before (502 from a further server, with all crashes confirmed) and passes after.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
@@ -288,7 +288,9 @@
 		this.channel = null;
 		this.context.admission().answered(this.service, (this.context.now() - this.sentAt) / NANOS_PER_MS);
 		releaseServer();
-		this.context.suspects().completed(this.fingerprint);
+		if (!ResponsePolicy.failure(this.relay.status())) {
+			this.context.suspects().completed(this.fingerprint);
+		}
 		close("answered", "status " + this.relay.status());
 		this.relay.end();
 	}
