Count a crash that leaves its connections silent

What callers saw: a request that takes down the VM of its server ended at its time limit and was sent to the next server each time it came again. Cause: only a broken response made its server suspect of a crash. A VM without power closes no connection, so the request ended as silent, at its time limit, or when its caller left, and none of the three was recorded. Change: if the server has sent nothing at all since the request was sent, these three ends start the same check; open connections prove nothing there, only bytes received since.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/CrashCheck.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/CrashCheck.java
@@ -3,13 +3,14 @@
 import java.util.HashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 import org.acaciamux.internal.coordination.direct.ServerState;
 
 /**
- * Finds out whether a server crashed when a response broke off. Placement avoids such a
- * server, so requests alone may not reach it before it is back. Invariant: at most one
- * check of a server is in progress. Confined to the event loop.
+ * Finds out whether a server crashed when a response broke off or did not come. Placement
+ * avoids such a server, so requests alone may not reach it before it is back. Invariant:
+ * at most one check of a server is in progress. Confined to the event loop.
  */
 final class CrashCheck {
 
@@ -33,16 +34,32 @@
 	 * @param server the server
 	 */
 	void brokeOff(long fingerprint, ServerState server) {
+		long brokeAt = this.context.now();
+		// A process that ends closes all its connections.
+		start(fingerprint, server, () -> this.context.channels().openSince(server.entry().id(), brokeAt));
+	}
+
+	/**
+	 * Record that a request was given up although its server had sent nothing since the
+	 * request was sent, and check the server. One that lost power closes no connection.
+	 * @param fingerprint the request's fingerprint
+	 * @param server the server
+	 */
+	void silent(long fingerprint, ServerState server) {
+		long silentAt = this.context.now();
+		start(fingerprint, server, () -> server.lastReceivedAt() - silentAt > 0);
+	}
+
+	private void start(long fingerprint, ServerState server, BooleanSupplier lives) {
 		String lifetime = server.observedLifetime();
 		this.context.suspects().brokeOff(fingerprint, lifetime);
-		long brokeAt = this.context.now();
 		if (this.checking.add(lifetime)) {
-			this.context.loop().schedule(() -> check(server, lifetime, brokeAt), DELAY_MS, TimeUnit.MILLISECONDS);
+			this.context.loop().schedule(() -> check(server, lifetime, lives), DELAY_MS, TimeUnit.MILLISECONDS);
 		}
 	}
 
-	private void check(ServerState server, String lifetime, long brokeAt) {
-		if (this.context.channels().openSince(server.entry().id(), brokeAt)) {
+	private void check(ServerState server, String lifetime, BooleanSupplier lives) {
+		if (lives.getAsBoolean()) {
 			this.checking.remove(lifetime);
 			return;
 		}
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
@@ -328,6 +328,10 @@
 		send();
 	}
 
+	private boolean serverSilentSinceSend() {
+		return this.server.lastReceivedAt() - this.sentAt < 0;
+	}
+
 	private void releaseServer() {
 		if (this.server == null) {
 			return;
@@ -386,6 +390,9 @@
 			return;
 		}
 		if (now >= this.deadlineAt) {
+			if (this.channel != null && serverSilentSinceSend()) {
+				this.context.crashCheck().silent(this.fingerprint, this.server);
+			}
 			cancelSend();
 			conclude(this.policy.giveUp(relayStarted()), "the time limit has passed");
 			return;
@@ -407,6 +414,9 @@
 			this.server.failedToReach(now);
 		}
 		if (this.route.repeatable()) {
+			if (serverSilentSinceSend()) {
+				this.context.crashCheck().silent(this.fingerprint, this.server);
+			}
 			abandonSend(SendResult.SILENT, "no bytes for " + silentMs + " ms");
 		}
 	}
@@ -434,6 +444,10 @@
 	 */
 	void callerDisconnected() {
 		if (!this.ended) {
+			if (this.channel != null && serverSilentSinceSend()
+					&& SilencePolicy.unresponsive((this.context.now() - this.sentAt) / NANOS_PER_MS)) {
+				this.context.crashCheck().silent(this.fingerprint, this.server);
+			}
 			cancelSend();
 			close("caller-left", "the caller closed its connection");
 		}
