Keep a connection that was opened and not used

Cause: the idle time of a connection counted from its last response, so one without a response was taken for expired and closed at the next check of idle connections: one opened by a crash check, or one whose request had ended before it was open. Change: the idle time counts from the release to the pool. Measured: connectionOpenedByACheckIsUsedByTheNextRequest fails before (3 connections accepted instead of 2) and passes after.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
@@ -81,6 +81,14 @@
 		return this.serverId;
 	}
 
+	/**
+	 * Record that the connection has become idle.
+	 * @param now the monotonic time in nanoseconds
+	 */
+	void idle(long now) {
+		this.idleSince = now;
+	}
+
 	boolean usable(long now) {
 		return this.channel.isActive() && this.reusable && (now - this.idleSince) / NANOS_PER_MS < this.keepAliveMs;
 	}
@@ -222,7 +230,6 @@
 
 	private void finish() {
 		this.reused = true;
-		this.idleSince = this.owner.now();
 		this.channel.config().setAutoRead(true);
 		// If the response ended before the request was written completely, the server
 		// would parse the rest of the body as the next request.
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannels.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannels.java
@@ -141,6 +141,7 @@
 			channel.close();
 			return;
 		}
+		channel.idle(now());
 		pool.idle.addFirst(channel);
 	}
 
