Do not send a request to a fourth server while its third crash is unknown

What callers saw: a request that may run again crashed a fourth server within the attempt that crashed the third. Cause: the number of crashes was read once, when the request arrived. The next send followed the broken response at once, 0.1 s before the check of the server had a result. Change: after a broken or silent send, a request with two recorded crashes is not sent again, and the limit is read before each send. Measured: requestIsNotSentAgainAfterItsThirdCrash fails before (4 crashes) and passes after.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/CrashSuspects.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/CrashSuspects.java
@@ -173,15 +173,30 @@
 	 * @return whether it has crashed too many servers
 	 */
 	public boolean shouldRefuse(long fingerprint) {
+		return crashCount(fingerprint) >= CRASHES_TO_REFUSE;
+	}
+
+	/**
+	 * Return whether one more crash would make a request refused. Such a request is not
+	 * sent again after a broken response, because whether that was a crash is not known
+	 * yet.
+	 * @param fingerprint the request's fingerprint
+	 * @return whether it may have crashed too many servers if its response broke off now
+	 */
+	public boolean oneCrashFromRefusal(long fingerprint) {
+		return crashCount(fingerprint) >= CRASHES_TO_REFUSE - 1;
+	}
+
+	private int crashCount(long fingerprint) {
 		Suspect suspect = this.suspects.get(fingerprint);
 		if (suspect == null) {
-			return false;
+			return 0;
 		}
 		if (this.clock.nanoTime() - suspect.at > KEEP_NANOS) {
 			this.suspects.remove(fingerprint);
-			return false;
+			return 0;
 		}
-		return suspect.servers.size() >= CRASHES_TO_REFUSE;
+		return suspect.servers.size();
 	}
 
 	/**
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
@@ -171,6 +171,11 @@
 			conclude(this.policy.giveUp(relayStarted()), "the time limit has passed");
 			return;
 		}
+		if (this.context.suspects().shouldRefuse(this.fingerprint)) {
+			conclude(this.policy.giveUp(relayStarted()), "request " + Long.toHexString(this.fingerprint)
+					+ " was running at several servers when they crashed");
+			return;
+		}
 		Optional<ServerState> chosen = this.context.placement().choose(this.service, this.request, this.tried);
 		if (chosen.isEmpty()) {
 			conclude(this.policy.giveUp(relayStarted()), "no backend server of " + this.service + " is available");
@@ -315,6 +320,10 @@
 			conclude(decision, reason);
 			return;
 		}
+		if (!result.notRun() && this.context.suspects().oneCrashFromRefusal(this.fingerprint)) {
+			conclude(this.policy.giveUp(relayStarted()), "it has been running at crashed servers before: " + reason);
+			return;
+		}
 		if (this.policy.nextIsRetry() && !this.context.budgets().tryRetry(this.service)) {
 			conclude(this.policy.giveUp(relayStarted()), "the retry budget is used up after: " + reason);
 			return;
