Evict the suspects with the fewest crashes first

What callers saw: a request that crashes its servers was sent on although its crashes had been recorded. Cause: when a loaded server crashes, each of its requests becomes an entry. At 256 entries the oldest was evicted, whatever its number of crashes, and that is the request that causes the crashes; a broken response beyond 256 was not recorded at all. Change: the entry with the fewest crashes is evicted, the older of equal ones; known suspects are recorded before new entries; up to 1,024 broken responses wait for their server, and known suspects keep their place.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/CrashSuspects.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/CrashSuspects.java
@@ -1,6 +1,8 @@
 package org.acaciamux.internal.coordination.direct;
 
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -17,8 +19,9 @@
  * Requests that were running when a backend server crashed. Guards against a request that
  * crashes every server that runs it while its caller resends it through any router.
  * Invariants: a request is refused only after it was in flight at
- * {@link #CRASHES_TO_REFUSE} different servers that crashed; each collection keeps at
- * most {@link #MAX_ENTRIES} entries. Confined to the event loop.
+ * {@link #CRASHES_TO_REFUSE} different servers that crashed; at most {@link #MAX_ENTRIES}
+ * suspects and {@link #MAX_BROKEN_RESPONSES} broken responses are kept. Confined to the
+ * event loop.
  */
 public final class CrashSuspects {
 
@@ -26,12 +29,18 @@
 	static final int CRASHES_TO_REFUSE = 3;
 
 	/**
-	 * Largest number of entries in each collection. When it is exceeded, suspects and
-	 * cleared fingerprints are evicted in insertion order; a new broken response is not
-	 * recorded.
+	 * Largest number of suspects and of cleared fingerprints. Of the suspects, the one
+	 * with the fewest crashes is evicted, so that the many requests of one loaded server
+	 * do not push out a request that crashes every server.
 	 */
 	static final int MAX_ENTRIES = 256;
 
+	/**
+	 * Largest number of broken responses whose server may yet turn out to have crashed:
+	 * several loaded servers at once.
+	 */
+	static final int MAX_BROKEN_RESPONSES = 1_024;
+
 	/** How long a crash counts, in nanoseconds: callers resend within minutes. */
 	private static final long KEEP_NANOS = 60_000_000_000L;
 
@@ -73,13 +82,22 @@
 	public void brokeOff(long fingerprint, String server) {
 		long now = this.clock.nanoTime();
 		expireBrokenResponses(now);
-		boolean full = this.brokenResponses.size() >= MAX_ENTRIES;
-		this.observer.changed(full ? Change.EVICTED : Change.SUSPECTED, fingerprint, "server=" + server);
-		if (!full) {
-			this.brokenResponses.add(new BrokenResponse(fingerprint, server, now));
+		this.observer.changed(Change.SUSPECTED, fingerprint, "server=" + server);
+		this.brokenResponses.add(new BrokenResponse(fingerprint, server, now));
+		if (this.brokenResponses.size() > MAX_BROKEN_RESPONSES) {
+			evictBrokenResponse();
 		}
 	}
 
+	private void evictBrokenResponse() {
+		BrokenResponse evicted = this.brokenResponses.stream()
+			.filter((broken) -> !this.suspects.containsKey(broken.fingerprint))
+			.findFirst()
+			.orElse(this.brokenResponses.get(0));
+		this.brokenResponses.remove(evicted);
+		this.observer.changed(Change.EVICTED, evicted.fingerprint, "server=" + evicted.server);
+	}
+
 	private void expireBrokenResponses(long now) {
 		this.brokenResponses.removeIf((broken) -> {
 			boolean expired = now - broken.at > CONFIRM_NANOS;
@@ -97,13 +115,17 @@
 	 */
 	public void lifetimeEnded(String server) {
 		long now = this.clock.nanoTime();
-		for (BrokenResponse broken : List.copyOf(this.brokenResponses)) {
-			if (broken.server.equals(server) && now - broken.at <= CONFIRM_NANOS) {
-				this.brokenResponses.remove(broken);
-				int crashes = recordCrash(broken.fingerprint, server);
-				this.observer.changed(Change.CONFIRMED, broken.fingerprint,
-						"server=" + server + " crashes=" + crashes + " afterMs=" + (now - broken.at) / NANOS_PER_MS);
-			}
+		expireBrokenResponses(now);
+		List<BrokenResponse> confirmed = this.brokenResponses.stream()
+			.filter((broken) -> broken.server.equals(server))
+			// Known suspects first, before new ones evict them.
+			.sorted(Comparator.comparing((broken) -> !this.suspects.containsKey(broken.fingerprint)))
+			.toList();
+		this.brokenResponses.removeAll(confirmed);
+		for (BrokenResponse broken : confirmed) {
+			int crashes = recordCrash(broken.fingerprint, server);
+			this.observer.changed(Change.CONFIRMED, broken.fingerprint,
+					"server=" + server + " crashes=" + crashes + " afterMs=" + (now - broken.at) / NANOS_PER_MS);
 		}
 	}
 
@@ -117,14 +139,19 @@
 		Suspect suspect = this.suspects.computeIfAbsent(fingerprint, (key) -> new Suspect());
 		suspect.servers.add(server);
 		suspect.at = this.clock.nanoTime();
-		Iterator<Long> eldest = this.suspects.keySet().iterator();
-		while (this.suspects.size() > MAX_ENTRIES) {
-			this.observer.changed(Change.EVICTED, eldest.next(), "entries=" + this.suspects.size());
-			eldest.remove();
+		if (this.suspects.size() > MAX_ENTRIES) {
+			evictSuspect();
 		}
 		return suspect.servers.size();
 	}
 
+	private void evictSuspect() {
+		Map.Entry<Long, Suspect> evicted = Collections.min(this.suspects.entrySet(),
+				Map.Entry.comparingByValue(Suspect.FEWEST_CRASHES_FIRST));
+		this.suspects.remove(evicted.getKey());
+		this.observer.changed(Change.EVICTED, evicted.getKey(), "crashes=" + evicted.getValue().servers.size());
+	}
+
 	/**
 	 * Add crashes that another router has recorded. Expired ones are ignored, so that
 	 * entries do not circulate between routers forever.
@@ -226,6 +253,10 @@
 
 	private static final class Suspect {
 
+		private static final Comparator<Suspect> FEWEST_CRASHES_FIRST = Comparator
+			.<Suspect>comparingInt((suspect) -> suspect.servers.size())
+			.thenComparing((first, second) -> Long.signum(first.at - second.at));
+
 		private final Set<String> servers = new HashSet<>();
 
 		private long at;
