Age each crash by itself, and keep it for ten minutes

What callers saw: a request that crashes its servers was accepted again after a minute, or earlier when another router reported an older crash. Cause: a suspect had one age for all its crashes. A message with an older, unknown crash set that age back, and all crashes expired together; a caller that resends every two minutes never reached three.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/CrashSuspects.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/CrashSuspects.java
@@ -4,12 +4,10 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 import org.agrona.concurrent.NanoClock;
 
@@ -41,8 +39,11 @@
 	 */
 	static final int MAX_BROKEN_RESPONSES = 1_024;
 
-	/** How long a crash counts, in nanoseconds: callers resend within minutes. */
-	private static final long KEEP_NANOS = 60_000_000_000L;
+	/**
+	 * How long a crash counts, in nanoseconds: callers resend within minutes. Agents
+	 * quarantine a request for the same time.
+	 */
+	private static final long KEEP_NANOS = 600_000_000_000L;
 
 	/**
 	 * Time after a broken response in which the end of its server's lifetime counts as a
@@ -136,20 +137,26 @@
 	 * @return how many crashed servers are known for the request
 	 */
 	int recordCrash(long fingerprint, String server) {
+		return recordCrash(fingerprint, server, this.clock.nanoTime());
+	}
+
+	private int recordCrash(long fingerprint, String server, long at) {
 		Suspect suspect = this.suspects.computeIfAbsent(fingerprint, (key) -> new Suspect());
-		suspect.servers.add(server);
-		suspect.at = this.clock.nanoTime();
+		suspect.crashes.putIfAbsent(server, at);
 		if (this.suspects.size() > MAX_ENTRIES) {
 			evictSuspect();
 		}
-		return suspect.servers.size();
+		return suspect.crashes.size();
 	}
 
 	private void evictSuspect() {
+		long now = this.clock.nanoTime();
+		Comparator<Suspect> fewestCrashesFirst = Comparator.<Suspect>comparingInt((suspect) -> suspect.crashes.size())
+			.thenComparing(Comparator.comparingLong((Suspect suspect) -> suspect.lastAgeNanos(now)).reversed());
 		Map.Entry<Long, Suspect> evicted = Collections.min(this.suspects.entrySet(),
-				Map.Entry.comparingByValue(Suspect.FEWEST_CRASHES_FIRST));
+				Map.Entry.comparingByValue(fewestCrashesFirst));
 		this.suspects.remove(evicted.getKey());
-		this.observer.changed(Change.EVICTED, evicted.getKey(), "crashes=" + evicted.getValue().servers.size());
+		this.observer.changed(Change.EVICTED, evicted.getKey(), "crashes=" + evicted.getValue().crashes.size());
 	}
 
 	/**
@@ -159,21 +166,19 @@
 	 * @param crashes the crashes
 	 */
 	public void merge(long fingerprint, Crashes crashes) {
-		long at = this.clock.nanoTime() - crashes.ageMs() * NANOS_PER_MS;
+		long now = this.clock.nanoTime();
 		Long clearedAt = this.cleared.get(fingerprint);
-		boolean outdated = clearedAt != null && clearedAt - at >= 0;
-		if (outdated || this.clock.nanoTime() - at > KEEP_NANOS) {
-			return;
-		}
-		for (String server : crashes.servers()) {
-			Suspect suspect = this.suspects.get(fingerprint);
-			if (suspect == null || !suspect.servers.contains(server)) {
-				int known = recordCrash(fingerprint, server);
-				this.suspects.get(fingerprint).at = at;
-				this.observer.changed(Change.LEARNED, fingerprint,
-						"server=" + server + " crashes=" + known + " ageMs=" + crashes.ageMs());
+		crashes.ageMs().forEach((server, ageMs) -> {
+			long at = now - ageMs * NANOS_PER_MS;
+			boolean outdated = clearedAt != null && clearedAt - at >= 0;
+			Suspect known = this.suspects.get(fingerprint);
+			if (outdated || now - at > KEEP_NANOS || known != null && known.crashes.containsKey(server)) {
+				return;
 			}
-		}
+			int count = recordCrash(fingerprint, server, at);
+			this.observer.changed(Change.LEARNED, fingerprint,
+					"server=" + server + " crashes=" + count + " ageMs=" + ageMs);
+		});
 	}
 
 	/**
@@ -185,7 +190,7 @@
 		if (suspect == null) {
 			return;
 		}
-		this.observer.changed(Change.CLEARED, fingerprint, "crashes=" + suspect.servers.size());
+		this.observer.changed(Change.CLEARED, fingerprint, "crashes=" + suspect.crashes.size());
 		this.cleared.put(fingerprint, this.clock.nanoTime());
 		Iterator<Long> eldest = this.cleared.keySet().iterator();
 		while (this.cleared.size() > MAX_ENTRIES) {
@@ -219,33 +224,29 @@
 		if (suspect == null) {
 			return 0;
 		}
-		if (this.clock.nanoTime() - suspect.at > KEEP_NANOS) {
-			this.suspects.remove(fingerprint);
-			return 0;
-		}
-		return suspect.servers.size();
+		suspect.expire(this.clock.nanoTime());
+		return suspect.crashes.size();
 	}
 
 	/**
 	 * List the crashes for the other routers.
-	 * @return the servers by fingerprint
+	 * @return the crashes by fingerprint
 	 */
 	public Map<Long, Crashes> crashes() {
 		Map<Long, Crashes> result = new HashMap<>();
 		long now = this.clock.nanoTime();
-		this.suspects.values().removeIf((suspect) -> now - suspect.at > KEEP_NANOS);
-		this.suspects.forEach((fingerprint, suspect) -> result.put(fingerprint,
-				new Crashes(Set.copyOf(suspect.servers), (now - suspect.at) / NANOS_PER_MS)));
+		this.suspects.values().forEach((suspect) -> suspect.expire(now));
+		this.suspects.values().removeIf((suspect) -> suspect.crashes.isEmpty());
+		this.suspects.forEach((fingerprint, suspect) -> result.put(fingerprint, suspect.report(now)));
 		return result;
 	}
 
 	/**
-	 * Crashes of servers that were running one request.
+	 * Crashes of servers that were running one request. Immutable and thread-safe.
 	 *
-	 * @param servers the servers that crashed
-	 * @param ageMs milliseconds since the last crash
+	 * @param ageMs milliseconds since the crash, by server
 	 */
-	public record Crashes(Set<String> servers, long ageMs) {
+	public record Crashes(Map<String, Long> ageMs) {
 	}
 
 	private record BrokenResponse(long fingerprint, String server, long at) {
@@ -253,13 +254,22 @@
 
 	private static final class Suspect {
 
-		private static final Comparator<Suspect> FEWEST_CRASHES_FIRST = Comparator
-			.<Suspect>comparingInt((suspect) -> suspect.servers.size())
-			.thenComparing((first, second) -> Long.signum(first.at - second.at));
+		/** Monotonic times of the crashes in nanoseconds, by server. */
+		private final Map<String, Long> crashes = new HashMap<>();
 
-		private final Set<String> servers = new HashSet<>();
+		private void expire(long now) {
+			this.crashes.values().removeIf((at) -> now - at > KEEP_NANOS);
+		}
+
+		private long lastAgeNanos(long now) {
+			return this.crashes.values().stream().mapToLong((at) -> now - at).min().orElse(Long.MAX_VALUE);
+		}
 
-		private long at;
+		private Crashes report(long now) {
+			Map<String, Long> ageMs = new HashMap<>();
+			this.crashes.forEach((server, at) -> ageMs.put(server, (now - at) / NANOS_PER_MS));
+			return new Crashes(ageMs);
+		}
 
 	}
 
--- a/server/src/main/java/org/acaciamux/internal/process/direct/PeerMessage.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/PeerMessage.java
@@ -2,14 +2,11 @@
 
 import java.io.IOException;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
@@ -54,13 +51,7 @@
 		node.put("ageMs", this.freshness.ageMs());
 		ObjectNode loads = node.putObject("inFlight");
 		this.inFlight.forEach(loads::put);
-		ObjectNode suspects = node.putObject("crashes");
-		this.crashes.forEach((fingerprint, known) -> {
-			ObjectNode suspect = suspects.putObject(Long.toHexString(fingerprint));
-			suspect.put("ageMs", known.ageMs());
-			ArrayNode list = suspect.putArray("servers");
-			known.servers().forEach(list::add);
-		});
+		node.set("crashes", CrashesJson.write(this.crashes));
 		node.set("placements", PlacementsJson.write(this.placements));
 		return JsonTrees.write(node);
 	}
@@ -78,18 +69,11 @@
 		}
 		Map<String, Integer> loads = new HashMap<>();
 		node.path("inFlight").properties().forEach((entry) -> loads.put(entry.getKey(), entry.getValue().asInt()));
-		Map<Long, Crashes> crashes = new HashMap<>();
-		node.path("crashes").properties().forEach((entry) -> {
-			Set<String> servers = new HashSet<>();
-			entry.getValue().path("servers").forEach((server) -> servers.add(server.asText()));
-			crashes.put(Long.parseUnsignedLong(entry.getKey(), 16),
-					new Crashes(servers, entry.getValue().path("ageMs").asLong()));
-		});
 		return Optional.of(new PeerMessage(node.path("router").asText(), node.path("peer").asText(),
 				node.path("incarnation").asLong(), node.path("sequence").asLong(), node.path("leaving").asBoolean(),
 				new Directory.Freshness(node.path("config").asLong(), node.path("revision").asLong(),
 						node.path("changed").asLong(), node.path("ageMs").asLong()),
-				loads, crashes, PlacementsJson.read(node.path("placements"))));
+				loads, CrashesJson.read(node.path("crashes")), PlacementsJson.read(node.path("placements"))));
 	}
 
 }
--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/CrashSuspectsTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/CrashSuspectsTests.java
@@ -1,7 +1,7 @@
 package org.acaciamux.internal.coordination.direct;
 
 import java.util.List;
-import java.util.Set;
+import java.util.Map;
 
 import org.testng.annotations.Test;
 
@@ -65,7 +65,7 @@
 		for (String server : List.of("a", "b", "c")) {
 			suspects.recordCrash(CRASHING, server);
 		}
-		suspects.merge(CRASHING, new CrashSuspects.Crashes(Set.of("d"), 59_000));
+		suspects.merge(CRASHING, new CrashSuspects.Crashes(Map.of("d", 59_000L)));
 		this.clock.advance(2_000);
 		assertTrue(suspects.shouldRefuse(CRASHING));
 	}
--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/FleetStateTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/FleetStateTests.java
@@ -140,7 +140,7 @@
 		suspects.recordCrash(7, "a");
 		suspects.recordCrash(7, "b");
 		assertFalse(suspects.shouldRefuse(7));
-		suspects.merge(7, new CrashSuspects.Crashes(Set.of("c"), 100));
+		suspects.merge(7, new CrashSuspects.Crashes(Map.of("c", 100L)));
 		assertTrue(suspects.shouldRefuse(7));
 	}
 
@@ -165,7 +165,7 @@
 		suspects.recordCrash(7, "a");
 		this.clock.advance(1_000);
 		suspects.completed(7);
-		suspects.merge(7, new CrashSuspects.Crashes(Set.of("a", "b", "c"), 500));
+		suspects.merge(7, new CrashSuspects.Crashes(Map.of("a", 500L, "b", 500L, "c", 500L)));
 		assertFalse(suspects.shouldRefuse(7));
 	}
 
@@ -185,7 +185,7 @@
 	@Test
 	public void expiredCrashesDoNotCirculate() {
 		CrashSuspects suspects = new CrashSuspects(this.clock, CrashObserver.NONE);
-		suspects.merge(7, new CrashSuspects.Crashes(Set.of("a", "b", "c"), 61_000));
+		suspects.merge(7, new CrashSuspects.Crashes(Map.of("a", 601_000L, "b", 601_000L, "c", 601_000L)));
 		assertFalse(suspects.shouldRefuse(7));
 		assertTrue(suspects.crashes().isEmpty());
 	}
