Tell the other routers that a suspect completed

What callers saw: a proper request that many callers send, and that was running when servers failed, was refused by some routers although others answered it. Cause: a completion cleared the crashes only at the router that saw it. With crashes that count for ten minutes this would last longer. Change: messages carry the age of the last completion; it clears older crashes at the receiver. Suspects and cleared requests share one table, so that cleared ones are evicted first.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/CrashSuspects.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/CrashSuspects.java
@@ -4,10 +4,10 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 
 import org.agrona.concurrent.NanoClock;
 
@@ -55,9 +55,6 @@
 
 	private final Map<Long, Suspect> suspects = new LinkedHashMap<>();
 
-	/** Completion times of requests that completed although crashes were known. */
-	private final Map<Long, Long> cleared = new LinkedHashMap<>();
-
 	private final List<BrokenResponse> brokenResponses = new ArrayList<>();
 
 	private final NanoClock clock;
@@ -92,7 +89,7 @@
 
 	private void evictBrokenResponse() {
 		BrokenResponse evicted = this.brokenResponses.stream()
-			.filter((broken) -> !this.suspects.containsKey(broken.fingerprint))
+			.filter((broken) -> crashCount(broken.fingerprint) == 0)
 			.findFirst()
 			.orElse(this.brokenResponses.get(0));
 		this.brokenResponses.remove(evicted);
@@ -120,7 +117,7 @@
 		List<BrokenResponse> confirmed = this.brokenResponses.stream()
 			.filter((broken) -> broken.server.equals(server))
 			// Known suspects first, before new ones evict them.
-			.sorted(Comparator.comparing((broken) -> !this.suspects.containsKey(broken.fingerprint)))
+			.sorted(Comparator.comparing((broken) -> crashCount(broken.fingerprint) == 0))
 			.toList();
 		this.brokenResponses.removeAll(confirmed);
 		for (BrokenResponse broken : confirmed) {
@@ -143,13 +140,14 @@
 	private int recordCrash(long fingerprint, String server, long at) {
 		Suspect suspect = this.suspects.computeIfAbsent(fingerprint, (key) -> new Suspect());
 		suspect.crashes.putIfAbsent(server, at);
-		if (this.suspects.size() > MAX_ENTRIES) {
-			evictSuspect();
-		}
+		evictSuspects();
 		return suspect.crashes.size();
 	}
 
-	private void evictSuspect() {
+	private void evictSuspects() {
+		if (this.suspects.size() <= MAX_ENTRIES) {
+			return;
+		}
 		long now = this.clock.nanoTime();
 		Comparator<Suspect> fewestCrashesFirst = Comparator.<Suspect>comparingInt((suspect) -> suspect.crashes.size())
 			.thenComparing(Comparator.comparingLong((Suspect suspect) -> suspect.lastAgeNanos(now)).reversed());
@@ -167,12 +165,12 @@
 	 */
 	public void merge(long fingerprint, Crashes crashes) {
 		long now = this.clock.nanoTime();
-		Long clearedAt = this.cleared.get(fingerprint);
+		crashes.clearedAgeMs().ifPresent((ageMs) -> clear(fingerprint, now - ageMs * NANOS_PER_MS));
 		crashes.ageMs().forEach((server, ageMs) -> {
 			long at = now - ageMs * NANOS_PER_MS;
-			boolean outdated = clearedAt != null && clearedAt - at >= 0;
 			Suspect known = this.suspects.get(fingerprint);
-			if (outdated || now - at > KEEP_NANOS || known != null && known.crashes.containsKey(server)) {
+			if (now - at > KEEP_NANOS
+					|| known != null && (known.clearedSince(at) || known.crashes.containsKey(server))) {
 				return;
 			}
 			int count = recordCrash(fingerprint, server, at);
@@ -186,17 +184,23 @@
 	 * @param fingerprint the request's fingerprint
 	 */
 	public void completed(long fingerprint) {
-		Suspect suspect = this.suspects.remove(fingerprint);
-		if (suspect == null) {
+		if (crashCount(fingerprint) > 0) {
+			clear(fingerprint, this.clock.nanoTime());
+		}
+	}
+
+	// Keeps the time of the completion, because other routers still report the crashes.
+	private void clear(long fingerprint, long at) {
+		boolean expired = this.clock.nanoTime() - at > KEEP_NANOS;
+		Suspect suspect = expired ? null : this.suspects.computeIfAbsent(fingerprint, (key) -> new Suspect());
+		if (suspect == null || suspect.clearedSince(at)) {
 			return;
 		}
-		this.observer.changed(Change.CLEARED, fingerprint, "crashes=" + suspect.crashes.size());
-		this.cleared.put(fingerprint, this.clock.nanoTime());
-		Iterator<Long> eldest = this.cleared.keySet().iterator();
-		while (this.cleared.size() > MAX_ENTRIES) {
-			eldest.next();
-			eldest.remove();
+		int crashes = suspect.clear(at);
+		if (crashes > 0) {
+			this.observer.changed(Change.CLEARED, fingerprint, "crashes=" + crashes);
 		}
+		evictSuspects();
 	}
 
 	/**
@@ -236,7 +240,7 @@
 		Map<Long, Crashes> result = new HashMap<>();
 		long now = this.clock.nanoTime();
 		this.suspects.values().forEach((suspect) -> suspect.expire(now));
-		this.suspects.values().removeIf((suspect) -> suspect.crashes.isEmpty());
+		this.suspects.values().removeIf(Suspect::isEmpty);
 		this.suspects.forEach((fingerprint, suspect) -> result.put(fingerprint, suspect.report(now)));
 		return result;
 	}
@@ -245,8 +249,10 @@
 	 * Crashes of servers that were running one request. Immutable and thread-safe.
 	 *
 	 * @param ageMs milliseconds since the crash, by server
+	 * @param clearedAgeMs milliseconds since the request completed in spite of earlier
+	 * crashes, empty if it did not
 	 */
-	public record Crashes(Map<String, Long> ageMs) {
+	public record Crashes(Map<String, Long> ageMs, OptionalLong clearedAgeMs) {
 	}
 
 	private record BrokenResponse(long fingerprint, String server, long at) {
@@ -257,8 +263,32 @@
 		/** Monotonic times of the crashes in nanoseconds, by server. */
 		private final Map<String, Long> crashes = new HashMap<>();
 
+		/**
+		 * Monotonic time in nanoseconds of the last completion after a crash, null if
+		 * there was none.
+		 */
+		private Long clearedAt;
+
 		private void expire(long now) {
 			this.crashes.values().removeIf((at) -> now - at > KEEP_NANOS);
+			if (this.clearedAt != null && now - this.clearedAt > KEEP_NANOS) {
+				this.clearedAt = null;
+			}
+		}
+
+		private boolean isEmpty() {
+			return this.crashes.isEmpty() && this.clearedAt == null;
+		}
+
+		private boolean clearedSince(long at) {
+			return this.clearedAt != null && this.clearedAt - at >= 0;
+		}
+
+		private int clear(long at) {
+			int before = this.crashes.size();
+			this.clearedAt = at;
+			this.crashes.values().removeIf(this::clearedSince);
+			return before - this.crashes.size();
 		}
 
 		private long lastAgeNanos(long now) {
@@ -268,7 +298,8 @@
 		private Crashes report(long now) {
 			Map<String, Long> ageMs = new HashMap<>();
 			this.crashes.forEach((server, at) -> ageMs.put(server, (now - at) / NANOS_PER_MS));
-			return new Crashes(ageMs);
+			return new Crashes(ageMs, (this.clearedAt != null) ? OptionalLong.of((now - this.clearedAt) / NANOS_PER_MS)
+					: OptionalLong.empty());
 		}
 
 	}
--- a/server/src/main/java/org/acaciamux/internal/process/direct/CrashesJson.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/CrashesJson.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -33,6 +34,7 @@
 				servers.add(server);
 				agesMs.add(ageMs);
 			});
+			known.clearedAgeMs().ifPresent((ageMs) -> suspect.put("clearedAgeMs", ageMs));
 		});
 		return node;
 	}
@@ -50,7 +52,9 @@
 		for (int i = 0; i < servers.size(); i++) {
 			ageMs.put(servers.path(i).asText(), suspect.path("agesMs").path(i).asLong(suspect.path("ageMs").asLong()));
 		}
-		return new Crashes(ageMs);
+		JsonNode clearedAgeMs = suspect.path("clearedAgeMs");
+		return new Crashes(ageMs,
+				clearedAgeMs.isNumber() ? OptionalLong.of(clearedAgeMs.asLong()) : OptionalLong.empty());
 	}
 
 }
--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/CrashSuspectsTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/CrashSuspectsTests.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 
 import org.testng.annotations.Test;
 
@@ -65,7 +66,7 @@
 		for (String server : List.of("a", "b", "c")) {
 			suspects.recordCrash(CRASHING, server);
 		}
-		suspects.merge(CRASHING, new CrashSuspects.Crashes(Map.of("d", 59_000L)));
+		suspects.merge(CRASHING, new CrashSuspects.Crashes(Map.of("d", 59_000L), OptionalLong.empty()));
 		this.clock.advance(2_000);
 		assertTrue(suspects.shouldRefuse(CRASHING));
 	}
--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/FleetStateTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/FleetStateTests.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
@@ -140,7 +141,7 @@
 		suspects.recordCrash(7, "a");
 		suspects.recordCrash(7, "b");
 		assertFalse(suspects.shouldRefuse(7));
-		suspects.merge(7, new CrashSuspects.Crashes(Map.of("c", 100L)));
+		suspects.merge(7, new CrashSuspects.Crashes(Map.of("c", 100L), OptionalLong.empty()));
 		assertTrue(suspects.shouldRefuse(7));
 	}
 
@@ -165,7 +166,7 @@
 		suspects.recordCrash(7, "a");
 		this.clock.advance(1_000);
 		suspects.completed(7);
-		suspects.merge(7, new CrashSuspects.Crashes(Map.of("a", 500L, "b", 500L, "c", 500L)));
+		suspects.merge(7, new CrashSuspects.Crashes(Map.of("a", 500L, "b", 500L, "c", 500L), OptionalLong.empty()));
 		assertFalse(suspects.shouldRefuse(7));
 	}
 
@@ -185,7 +186,8 @@
 	@Test
 	public void expiredCrashesDoNotCirculate() {
 		CrashSuspects suspects = new CrashSuspects(this.clock, CrashObserver.NONE);
-		suspects.merge(7, new CrashSuspects.Crashes(Map.of("a", 601_000L, "b", 601_000L, "c", 601_000L)));
+		suspects.merge(7,
+				new CrashSuspects.Crashes(Map.of("a", 601_000L, "b", 601_000L, "c", 601_000L), OptionalLong.empty()));
 		assertFalse(suspects.shouldRefuse(7));
 		assertTrue(suspects.crashes().isEmpty());
 	}
