Report crashes in small messages

Cause: all suspects travelled in each message, four times a second to each router: 33,463 bytes for 256 suspects with three crashes each (37,815 with an age for each crash), 24 packets of which the loss of one loses all, and more than the link of a small router carries. Change: a message has at most 32 suspects: new crashes and completions in the next four messages, the others in turn, so that a router that starts knows all within 2 s.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/CrashSuspects.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/CrashSuspects.java
@@ -33,6 +33,15 @@
 	 */
 	static final int MAX_ENTRIES = 256;
 
+	/**
+	 * Largest number of entries in a message, about 150 bytes each: a datagram of a few
+	 * packets arrives over a lossy link, and four a second do not fill a slow one.
+	 */
+	static final int MAX_REPORTED = 32;
+
+	/** Number of messages that report a new crash, because some are lost. */
+	static final int URGENT_REPORTS = 4;
+
 	/**
 	 * Largest number of broken responses whose server may yet turn out to have crashed:
 	 * several loaded servers at once.
@@ -53,6 +62,7 @@
 
 	private static final long NANOS_PER_MS = 1_000_000;
 
+	/** Suspects by fingerprint, those that were reported last at the end. */
 	private final Map<Long, Suspect> suspects = new LinkedHashMap<>();
 
 	private final List<BrokenResponse> brokenResponses = new ArrayList<>();
@@ -134,7 +144,16 @@
 	 * @return how many crashed servers are known for the request
 	 */
 	int recordCrash(long fingerprint, String server) {
-		return recordCrash(fingerprint, server, this.clock.nanoTime());
+		int crashes = recordCrash(fingerprint, server, this.clock.nanoTime());
+		reportSoon(fingerprint);
+		return crashes;
+	}
+
+	private void reportSoon(long fingerprint) {
+		Suspect suspect = this.suspects.get(fingerprint);
+		if (suspect != null) {
+			suspect.urgentReports = URGENT_REPORTS;
+		}
 	}
 
 	private int recordCrash(long fingerprint, String server, long at) {
@@ -186,6 +205,7 @@
 	public void completed(long fingerprint) {
 		if (crashCount(fingerprint) > 0) {
 			clear(fingerprint, this.clock.nanoTime());
+			reportSoon(fingerprint);
 		}
 	}
 
@@ -233,15 +253,28 @@
 	}
 
 	/**
-	 * List the crashes for the other routers.
-	 * @return the crashes by fingerprint
+	 * List crashes for the next message to the other routers: new ones in the next
+	 * {@link #URGENT_REPORTS} messages, the others in turn. All are reported within
+	 * {@link #MAX_ENTRIES} / {@link #MAX_REPORTED} messages, also to a router that has
+	 * just started.
+	 * @return the crashes of at most {@link #MAX_REPORTED} requests, by fingerprint
 	 */
-	public Map<Long, Crashes> crashes() {
-		Map<Long, Crashes> result = new HashMap<>();
+	public Map<Long, Crashes> report() {
 		long now = this.clock.nanoTime();
 		this.suspects.values().forEach((suspect) -> suspect.expire(now));
 		this.suspects.values().removeIf(Suspect::isEmpty);
-		this.suspects.forEach((fingerprint, suspect) -> result.put(fingerprint, suspect.report(now)));
+		List<Long> next = this.suspects.entrySet()
+			.stream()
+			.sorted(Map.Entry.comparingByValue(Suspect.MOST_URGENT_FIRST))
+			.limit(MAX_REPORTED)
+			.map(Map.Entry::getKey)
+			.toList();
+		Map<Long, Crashes> result = new HashMap<>();
+		for (Long fingerprint : next) {
+			Suspect suspect = this.suspects.remove(fingerprint);
+			result.put(fingerprint, suspect.report(now));
+			this.suspects.put(fingerprint, suspect);
+		}
 		return result;
 	}
 
@@ -260,6 +293,10 @@
 
 	private static final class Suspect {
 
+		private static final Comparator<Suspect> MOST_URGENT_FIRST = Comparator
+			.<Suspect>comparingInt((suspect) -> (suspect.urgentReports > 0) ? 0 : 1)
+			.thenComparingInt((suspect) -> (suspect.urgentReports > 0) ? -suspect.crashes.size() : 0);
+
 		/** Monotonic times of the crashes in nanoseconds, by server. */
 		private final Map<String, Long> crashes = new HashMap<>();
 
@@ -269,6 +306,8 @@
 		 */
 		private Long clearedAt;
 
+		private int urgentReports;
+
 		private void expire(long now) {
 			this.crashes.values().removeIf((at) -> now - at > KEEP_NANOS);
 			if (this.clearedAt != null && now - this.clearedAt > KEEP_NANOS) {
@@ -296,6 +335,7 @@
 		}
 
 		private Crashes report(long now) {
+			this.urgentReports = Math.max(0, this.urgentReports - 1);
 			Map<String, Long> ageMs = new HashMap<>();
 			this.crashes.forEach((server, at) -> ageMs.put(server, (now - at) / NANOS_PER_MS));
 			return new Crashes(ageMs, (this.clearedAt != null) ? OptionalLong.of((now - this.clearedAt) / NANOS_PER_MS)
--- a/server/src/main/java/org/acaciamux/internal/process/direct/PeerExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/PeerExchange.java
@@ -172,7 +172,7 @@
 			}
 		}
 		byte[] bytes = new PeerMessage(this.router, this.self.toString(), this.incarnation, ++this.sequence,
-				this.leaving, this.directory.freshness(), inFlight, this.suspects.crashes(), this.placements.drain())
+				this.leaving, this.directory.freshness(), inFlight, this.suspects.report(), this.placements.drain())
 			.encode();
 		for (Peer peer : ExchangePolicy.receivers(this.peers.values(), this.random)) {
 			this.channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), peer.address))
--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/CrashSuspectsTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/CrashSuspectsTests.java
@@ -95,11 +95,30 @@
 		for (String server : List.of("a", "b", "c")) {
 			refusing.recordCrash(CRASHING, server);
 		}
-		refusing.crashes().forEach(completing::merge);
+		refusing.report().forEach(completing::merge);
 		this.clock.advance(100);
 		completing.completed(CRASHING);
-		completing.crashes().forEach(refusing::merge);
+		completing.report().forEach(refusing::merge);
 		assertFalse(refusing.shouldRefuse(CRASHING));
 	}
 
+	/**
+	 * While many entries wait for their turn, a request must not crash servers for
+	 * seconds because its crashes are reported last.
+	 */
+	@Test
+	public void newCrashIsReportedInTheNextMessages() {
+		CrashSuspects suspects = suspects();
+		for (long other = 1_000; other < 1_250; other++) {
+			suspects.recordCrash(other, "x");
+		}
+		for (int i = 0; i < 40; i++) {
+			suspects.report();
+		}
+		suspects.recordCrash(CRASHING, "a");
+		for (int i = 0; i < CrashSuspects.URGENT_REPORTS; i++) {
+			assertTrue(suspects.report().containsKey(CRASHING), "message " + i);
+		}
+	}
+
 }
--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/FleetStateTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/FleetStateTests.java
@@ -189,7 +189,7 @@
 		suspects.merge(7,
 				new CrashSuspects.Crashes(Map.of("a", 601_000L, "b", 601_000L, "c", 601_000L), OptionalLong.empty()));
 		assertFalse(suspects.shouldRefuse(7));
-		assertTrue(suspects.crashes().isEmpty());
+		assertTrue(suspects.report().isEmpty());
 	}
 
 	@Test
