Tell the caller of a quarantined request when it may run again

What callers saw: 503 with a Retry-After of at most a third of their time, after which the request was refused again. Cause: the delay came from the estimate of free slots, which a quarantined request does not wait for.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/CrashSuspects.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/CrashSuspects.java
@@ -243,6 +243,25 @@
 		return crashCount(fingerprint) >= CRASHES_TO_REFUSE - 1;
 	}
 
+	/**
+	 * Return how long a request is still refused if it does not crash another server.
+	 * @param fingerprint the request's fingerprint
+	 * @return the time in milliseconds, 0 if it is not refused
+	 */
+	public long refusedForMs(long fingerprint) {
+		if (!shouldRefuse(fingerprint)) {
+			return 0;
+		}
+		long now = this.clock.nanoTime();
+		return this.suspects.get(fingerprint).crashes.values()
+			.stream()
+			.map((at) -> (KEEP_NANOS - (now - at)) / NANOS_PER_MS + 1)
+			.sorted(Comparator.reverseOrder())
+			.skip(CRASHES_TO_REFUSE - 1)
+			.findFirst()
+			.orElse(0L);
+	}
+
 	private int crashCount(long fingerprint) {
 		Suspect suspect = this.suspects.get(fingerprint);
 		if (suspect == null) {
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
@@ -81,6 +81,8 @@
 
 	private long slotFreeMs;
 
+	private long quarantinedMs;
+
 	private Admission.WaitClass waitClass;
 
 	private Optional<Endpoint> promptSource = Optional.empty();
@@ -168,6 +170,7 @@
 			return;
 		}
 		if (this.context.suspects().shouldRefuse(this.fingerprint)) {
+			this.quarantinedMs = this.context.suspects().refusedForMs(this.fingerprint);
 			conclude(this.policy.giveUp(relayStarted()), "request " + Long.toHexString(this.fingerprint)
 					+ " was running at several servers when they crashed");
 			return;
@@ -361,7 +364,8 @@
 	private void refuse(String reason) {
 		long leftMs = (this.deadlineAt - this.context.now()) / NANOS_PER_MS;
 		double random = (StableHash.mix(this.startedAt) >>> 11) / (double) (1L << 53);
-		long ms = Admission.retryAfterMs(this.slotFreeMs, leftMs, random);
+		// A caller that came back earlier would be refused again.
+		long ms = Math.max(this.quarantinedMs, Admission.retryAfterMs(this.slotFreeMs, leftMs, random));
 		HttpHeaders headers = OutgoingHeaders.FACTORY.newHeaders();
 		headers.set(HttpHeaderNames.RETRY_AFTER, String.valueOf(ms / MS_PER_SECOND));
 		close("refused", reason);
