Restore the crashes of requests after the loss of all routers

What callers saw: after all routers had restarted, a request that crashes its servers crashed three more. Cause: crashes were kept in the memory of the routers only. What routers save in the store and tell a starting router held placements alone. Measured: requestIsRefusedAfterTheLossOfAllRouters fails before (502) and passes after; requestIsRefusedByARouterThatHasJustStarted passed before through the messages and passes. StartPageTests reads former pages and messages, and reads the new page as the former version does.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/CrashSuspects.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/CrashSuspects.java
@@ -297,6 +297,23 @@
 		return result;
 	}
 
+	/**
+	 * List the crashes of the requests with the most crashes, for a router that starts.
+	 * @param limit largest number of requests
+	 * @return the crashes by fingerprint
+	 */
+	public Map<Long, Crashes> mostCrashes(int limit) {
+		long now = this.clock.nanoTime();
+		Map<Long, Crashes> result = new HashMap<>();
+		this.suspects.entrySet()
+			.stream()
+			.filter((entry) -> crashCount(entry.getKey()) > 0)
+			.sorted(Comparator.comparingInt((entry) -> -entry.getValue().crashes.size()))
+			.limit(limit)
+			.forEach((entry) -> result.put(entry.getKey(), entry.getValue().crashes(now)));
+		return result;
+	}
+
 	/**
 	 * Crashes of servers that were running one request. Immutable and thread-safe.
 	 *
@@ -355,6 +372,10 @@
 
 		private Crashes report(long now) {
 			this.urgentReports = Math.max(0, this.urgentReports - 1);
+			return crashes(now);
+		}
+
+		private Crashes crashes(long now) {
 			Map<String, Long> ageMs = new HashMap<>();
 			this.crashes.forEach((server, at) -> ageMs.put(server, (now - at) / NANOS_PER_MS));
 			return new Crashes(ageMs, (this.clearedAt != null) ? OptionalLong.of((now - this.clearedAt) / NANOS_PER_MS)
--- a/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
@@ -141,7 +141,7 @@
 		PageServer readiness = new PageServer(this.loop, Map.of(PageServer.ANY_PATH, (query) -> readinessPage()));
 		PageServer pages = new PageServer(this.loop,
 				Map.of(PageServer.STATE_PATH, this::statePage, PageServer.PLACEMENTS_PATH,
-						(query) -> new PageServer.Page(200, this.peers.placementsPage()), PageServer.METRICS_PATH,
+						(query) -> new PageServer.Page(200, this.peers.startPage()), PageServer.METRICS_PATH,
 						(query) -> PageServer.Page.text(200, MetricsText.write(this.registry))));
 		List<ChannelFuture> bound = List.of(this.frontend.bind(this.settings.listen().toSocketAddress()),
 				readiness.bind(this.settings.readiness().toSocketAddress()),
@@ -225,13 +225,13 @@
 	}
 
 	@Override
-	public void saved(byte[] placements) {
-		this.peers.restorePlacements(placements);
+	public void saved(byte[] state) {
+		this.peers.restore(state, "store");
 	}
 
 	private void savePlacements() {
 		if (this.context.serviceable() && this.peers.savesPlacements()) {
-			this.directory.save(this.peers.placementsPage());
+			this.directory.save(this.peers.startPage());
 		}
 	}
 
--- a/server/src/main/java/org/acaciamux/internal/process/direct/PeerExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/PeerExchange.java
@@ -32,7 +32,6 @@
 import org.acaciamux.internal.coordination.direct.ServerTable;
 import org.acaciamux.internal.coordination.direct.StateFetchPolicy;
 import org.acaciamux.internal.event.DecisionLog;
-import org.acaciamux.internal.protocol.JsonTrees;
 import org.acaciamux.internal.transport.http.PlatformHttpClient;
 import org.acaciamux.settings.Endpoint;
 
@@ -67,6 +66,9 @@
 	 */
 	private static final int MAX_PARTS_PER_PAGE = 8_192;
 
+	/** Largest number of suspects in a page, about 150 bytes each. */
+	private static final int MAX_SUSPECTS_PER_PAGE = 64;
+
 	/**
 	 * Age up to which a page of placements is reused, in nanoseconds: writing it anew for
 	 * each of many routers that restart at once would use all processor time.
@@ -218,18 +220,18 @@
 	}
 
 	/**
-	 * Write the prompt parts that backend servers have cached, for a router that has just
-	 * started.
+	 * Write the prompt parts that backend servers have cached and the requests that
+	 * crashed most servers, for a router that has just started.
 	 * @return the page
 	 */
-	byte[] placementsPage() {
+	byte[] startPage() {
 		long now = this.clock.nanoTime();
 		if (this.page == null || now - this.pageAt > MAX_PAGE_AGE_NANOS) {
 			int limit = Math.min(MAX_PARTS_PER_SERVER, MAX_PARTS_PER_PAGE / Math.max(1, this.servers.all().size()));
 			Map<String, List<List<PromptPart>>> cached = new HashMap<>();
 			this.servers.all()
 				.forEach((server) -> cached.put(server.entry().lifetime(), List.of(server.cachedParts(limit))));
-			this.page = JsonTrees.write(PlacementsJson.write(cached));
+			this.page = new StartPage(cached, this.suspects.mostCrashes(MAX_SUSPECTS_PER_PAGE)).encode();
 			this.pageAt = now;
 		}
 		return this.page;
@@ -240,26 +242,22 @@
 			return;
 		}
 		this.placementsRequested = true;
-		fetch(peer, PageServer.PLACEMENTS_PATH, (reply) -> reply.ifPresent((body) -> {
-			try {
-				addPlacementsByLifetime(PlacementsJson.read(JsonTrees.read(body)));
-			}
-			catch (IOException ex) {
-				this.log.line("event=placements-invalid from=" + peer + " reason=\"" + ex.getMessage() + "\"");
-			}
-		}));
+		fetch(peer, PageServer.PLACEMENTS_PATH, (reply) -> reply.ifPresent((body) -> restore(body, peer.toString())));
 	}
 
 	/**
-	 * Restore the placements that a router has saved.
-	 * @param page the page that {@link #placementsPage} of that router returned
+	 * Restore what a router has saved or told at the start.
+	 * @param page what {@link #startPage} of that router returned
+	 * @param source where the page comes from, for the log
 	 */
-	void restorePlacements(byte[] page) {
+	void restore(byte[] page, String source) {
 		try {
-			addPlacementsByLifetime(PlacementsJson.read(JsonTrees.read(page)));
+			StartPage restored = StartPage.decode(page);
+			addPlacementsByLifetime(restored.placements());
+			restored.crashes().forEach(this.suspects::merge);
 		}
 		catch (IOException ex) {
-			this.log.line("event=placements-invalid from=store reason=\"" + ex.getMessage() + "\"");
+			this.log.line("event=placements-invalid from=" + source + " reason=\"" + ex.getMessage() + "\"");
 		}
 	}
 
