Bound what is skipped before the response to a request

What callers saw: a request whose server sent a response to another request, or interim responses, without end got 504 at its time limit, and its router read all of it. Cause: ServerChannel skips such responses without a bound. Change: after 16 responses or 1 MB the send counts as broken and the connection is closed.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
@@ -37,6 +37,15 @@
 	 */
 	private static final long KEEP_ALIVE_MARGIN_MS = 400;
 
+	/**
+	 * Largest number of responses that are skipped before the one to the current request:
+	 * interim ones, and late ones to earlier requests.
+	 */
+	private static final int MAX_SKIPPED_RESPONSES = 16;
+
+	/** Largest number of body bytes that are skipped before that response. */
+	private static final int MAX_SKIPPED_BYTES = 1_048_576;
+
 	private static final long NANOS_PER_MS = 1_000_000;
 
 	private final ServerChannels owner;
@@ -55,6 +64,10 @@
 
 	private boolean skippingResponse;
 
+	private int skippedResponses;
+
+	private int skippedBytes;
+
 	private boolean responseStarted;
 
 	private boolean requestWritten;
@@ -107,6 +120,8 @@
 		this.attemptId = attempt;
 		this.requestWritten = false;
 		this.responseStarted = false;
+		this.skippedResponses = 0;
+		this.skippedBytes = 0;
 		this.channel.writeAndFlush(request).addListener((ChannelFutureListener) (future) -> {
 			if (future.isSuccess()) {
 				this.requestWritten = true;
@@ -165,15 +180,15 @@
 	private void head(HttpResponse response) {
 		this.owner.received(this.serverId);
 		if (response.status().code() < 200) {
-			this.skippingResponse = true;
+			skipResponse();
 			return;
 		}
 		WireFormat.ServerReply reply = this.format.reply(response);
 		if (!reply.attemptId().map(this.attemptId::equals).orElse(false)) {
 			// A late response to an earlier request. The response to this one may follow.
-			this.skippingResponse = true;
 			this.reusable = false;
 			this.owner.foreignResponse(this.serverId);
+			skipResponse();
 			return;
 		}
 		this.skippingResponse = false;
@@ -185,6 +200,13 @@
 		this.listener.head(response, reply);
 	}
 
+	private void skipResponse() {
+		this.skippingResponse = true;
+		if (++this.skippedResponses > MAX_SKIPPED_RESPONSES) {
+			broken(this.skippedResponses + " responses came before the one to the request");
+		}
+	}
+
 	private static boolean endsWithConnection(HttpResponse response) {
 		return !HttpUtil.isTransferEncodingChunked(response) && !HttpUtil.isContentLengthSet(response);
 	}
@@ -209,6 +231,10 @@
 		boolean last = content instanceof LastHttpContent;
 		if (this.skippingResponse) {
 			this.skippingResponse = !last;
+			this.skippedBytes += content.content().readableBytes();
+			if (this.skippedBytes > MAX_SKIPPED_BYTES) {
+				broken("a response that is not the one to the request does not end");
+			}
 			return;
 		}
 		if (!this.responseStarted) {
