Bound responses that are held back and do not end

What callers saw: endless bytes of a failure response were passed on as one, and those of an event as part of the stream; meanwhile the router answered other requests late. Cause: a failure response was passed on in parts once it was longer than 1 MB, an event once it was longer than 256 KB. Each chunk copied all that was held back, so chunks of one byte occupied the event loop, and 1 MB was held back for every request at the same time. Change: a failure response or an event beyond its limit counts as broken, so a resumable stream goes on at another server; bytes are appended and searched once; all requests together hold back 16 MB, beyond which a success is passed on in parts.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectContext.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectContext.java
@@ -50,6 +50,8 @@
 
 	private final RecentPlacements placements = new RecentPlacements();
 
+	private final HeldBytes heldBytes = new HeldBytes();
+
 	private final Admission admission;
 
 	private Optional<TrafficConfig> config = Optional.empty();
@@ -252,6 +254,10 @@
 		return this.config.flatMap((config) -> config.service(service)).map(ServiceSpec::maxConnections).orElse(1);
 	}
 
+	HeldBytes heldBytes() {
+		return this.heldBytes;
+	}
+
 	DirectMetrics metrics() {
 		return this.metrics;
 	}
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
@@ -153,7 +153,7 @@
 
 	private void admit() {
 		this.policy = new AttemptPolicy(this.route);
-		this.relay = new ResponseRelay(this.caller, this.route);
+		this.relay = new ResponseRelay(this.caller, this.route, this.context.heldBytes());
 		this.service = this.route.service(StableHash.of(this.request.attemptId()));
 		this.deadlineAt = this.startedAt + Math.min(this.request.waitMs(), this.route.timeoutMs()) * NANOS_PER_MS;
 		this.waitClass = this.context.admission().arrived(this.route, this.organisation);
@@ -268,7 +268,12 @@
 			return;
 		}
 		recordData();
-		if (!this.relay.data(data)) {
+		boolean writable = this.relay.data(data);
+		if (this.relay.tooLong()) {
+			abandonSend(SendResult.BROKEN, "the response does not end");
+			return;
+		}
+		if (!writable) {
 			this.channel.setReading(false);
 		}
 	}
@@ -438,6 +443,7 @@
 			}
 			this.channel.cancel();
 			this.channel = null;
+			this.relay.discard();
 		}
 		releaseServer();
 	}
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/EventFramer.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/EventFramer.java
@@ -14,15 +14,15 @@
  */
 final class EventFramer {
 
-	/**
-	 * Largest event that is held back until it is complete, in bytes; a longer one is
-	 * passed on in parts.
-	 */
+	/** Largest event, in bytes. */
 	private static final int MAX_EVENT_BYTES = 256 * 1024;
 
+	/** Bytes before the end of an event that are needed to recognize it. */
+	private static final int MAX_SEPARATOR_BYTES = 4;
+
 	private static final byte[] ID = "id:".getBytes(StandardCharsets.US_ASCII);
 
-	private ByteBuf incomplete = Unpooled.EMPTY_BUFFER;
+	private ByteBuf incomplete = Unpooled.buffer();
 
 	private String lastId = "";
 
@@ -32,27 +32,31 @@
 	 * @return the complete events, empty if there are none; the caller releases it
 	 */
 	ByteBuf append(ByteBuf data) {
-		ByteBuf bytes = Unpooled.wrappedBuffer(this.incomplete, data.retain());
-		this.incomplete = Unpooled.EMPTY_BUFFER;
-		int end = lastEventEnd(bytes);
-		if (bytes.readableBytes() - end > MAX_EVENT_BYTES) {
-			end = bytes.readableBytes();
-		}
-		if (end < bytes.readableBytes()) {
-			this.incomplete = Unpooled
-				.copiedBuffer(bytes.slice(bytes.readerIndex() + end, bytes.readableBytes() - end));
+		int searched = Math.max(0, this.incomplete.readableBytes() - MAX_SEPARATOR_BYTES);
+		this.incomplete.writeBytes(data, data.readerIndex(), data.readableBytes());
+		int end = lastEventEnd(this.incomplete, searched);
+		if (end == 0) {
+			return Unpooled.EMPTY_BUFFER;
 		}
-		ByteBuf events = Unpooled.copiedBuffer(bytes.slice(bytes.readerIndex(), end));
-		bytes.release();
+		ByteBuf events = Unpooled.copiedBuffer(this.incomplete.readSlice(end));
+		this.incomplete.discardReadBytes();
 		noteLastId(events);
 		return events;
 	}
 
+	/**
+	 * Return whether the incomplete event is longer than any event may be.
+	 * @return whether it is too long
+	 */
+	boolean tooLong() {
+		return this.incomplete.readableBytes() > MAX_EVENT_BYTES;
+	}
+
 	/**
 	 * Discard the incomplete event, because the stream is resumed at another server.
 	 */
 	void discard() {
-		this.incomplete = Unpooled.EMPTY_BUFFER;
+		this.incomplete = Unpooled.buffer();
 	}
 
 	/**
@@ -61,7 +65,7 @@
 	 */
 	ByteBuf takeRest() {
 		ByteBuf rest = this.incomplete;
-		this.incomplete = Unpooled.EMPTY_BUFFER;
+		this.incomplete = Unpooled.buffer();
 		return rest;
 	}
 
@@ -73,9 +77,11 @@
 		return Optional.of(this.lastId).filter((id) -> !id.isEmpty());
 	}
 
-	private static int lastEventEnd(ByteBuf bytes) {
+	// Searches backwards, but not the bytes before the given offset, which contain no
+	// end.
+	private static int lastEventEnd(ByteBuf bytes, int offset) {
 		int from = bytes.readerIndex();
-		for (int i = bytes.writerIndex() - 1; i > from; i--) {
+		for (int i = bytes.writerIndex() - 1; i > from + offset; i--) {
 			if (bytes.getByte(i) == '\n' && endsEvent(bytes, i, from)) {
 				return i + 1 - from;
 			}
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ResponseRelay.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ResponseRelay.java
@@ -36,13 +36,18 @@
 
 	private HttpResponse response;
 
-	private ByteBuf buffered = Unpooled.EMPTY_BUFFER;
+	private final HeldBytes heldBytes;
+
+	private ByteBuf buffered = Unpooled.buffer(0);
+
+	private boolean failureTooLong;
 
 	private boolean started;
 
-	ResponseRelay(DirectCaller caller, ServiceRoute route) {
+	ResponseRelay(DirectCaller caller, ServiceRoute route, HeldBytes heldBytes) {
 		this.caller = caller;
 		this.route = route;
+		this.heldBytes = heldBytes;
 	}
 
 	/**
@@ -76,12 +81,33 @@
 	}
 
 	private void buffer(ByteBuf data) {
-		this.buffered = Unpooled.copiedBuffer(this.buffered, data);
-		if (this.buffered.readableBytes() > MAX_BUFFERED_BYTES) {
-			begin();
-			this.caller.data(this.buffered);
-			this.buffered = Unpooled.EMPTY_BUFFER;
+		this.buffered.writeBytes(data, data.readerIndex(), data.readableBytes());
+		this.heldBytes.add(data.readableBytes());
+		if (this.buffered.readableBytes() <= MAX_BUFFERED_BYTES && !this.heldBytes.full()) {
+			return;
 		}
+		if (this.response.status().code() >= FIRST_ERROR_STATUS) {
+			this.failureTooLong = true;
+			return;
+		}
+		begin();
+		this.caller.data(takeBuffered());
+	}
+
+	private ByteBuf takeBuffered() {
+		ByteBuf taken = this.buffered;
+		this.heldBytes.add(-taken.readableBytes());
+		this.buffered = Unpooled.buffer(0);
+		return taken;
+	}
+
+	/**
+	 * Return whether the response cannot be one because of its length: a failure or an
+	 * event that does not end. Nothing more of it may be passed on.
+	 * @return whether it is too long
+	 */
+	boolean tooLong() {
+		return this.failureTooLong || this.framer.tooLong();
 	}
 
 	private boolean streams() {
@@ -100,7 +126,7 @@
 	 */
 	void end() {
 		if (!streams()) {
-			this.caller.respond(this.response.status(), headers(), this.buffered);
+			this.caller.respond(this.response.status(), headers(), takeBuffered());
 			return;
 		}
 		begin();
@@ -115,7 +141,8 @@
 	 * Discard what has not been passed on, because the send failed.
 	 */
 	void discard() {
-		this.buffered = Unpooled.EMPTY_BUFFER;
+		takeBuffered();
+		this.failureTooLong = false;
 		this.framer.discard();
 	}
 
