Keep a suspect of an agent that was answered with a failure

What callers saw: through agents too, a request that crashes its servers was sent on after one of them had answered it with a 500. Change: only a response below 500 clears it. Measured: aSuspectThatFailsIsNotCleared fails before (the request runs) and passes after.

--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/RequestRunner.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/RequestRunner.java
@@ -24,6 +24,8 @@
 
 	private static final long DOWN_RETRY_MS = 1_000;
 
+	private static final int FIRST_SERVER_ERROR = 500;
+
 	private final AgentCore core;
 
 	private final Backend backend;
@@ -183,6 +185,8 @@
 
 		private final AgentCore core = RequestRunner.this.core;
 
+		private int status;
+
 		private Response(AgentRequest request) {
 			this.request = request;
 			this.collector = RequestRunner.this.keyedCalls.new Collector(request);
@@ -190,6 +194,7 @@
 
 		@Override
 		public void head(int status, List<Header> headers) {
+			this.status = status;
 			this.collector.head(status, headers);
 			this.core.update((effects) -> {
 				this.request.recordProgress(this.core.nowMs());
@@ -218,7 +223,10 @@
 		@Override
 		public void end() {
 			this.collector.end();
-			RequestRunner.this.suspectGate.completed(this.request);
+			// A failure does not prove that the server ran the request to its end.
+			if (this.status < FIRST_SERVER_ERROR) {
+				RequestRunner.this.suspectGate.completed(this.request);
+			}
 			RequestRunner.this.handover.requestCompleted(this.request.submit().getChat());
 			AgentCore.PoolSnapshot pool = this.core.pool();
 			this.core.update((effects) -> {
--- a/server/src/test/java/org/acaciamux/internal/coordination/admission/FakeBackend.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/admission/FakeBackend.java
@@ -109,6 +109,10 @@
 			}
 		}
 
+		void status(int status) {
+			this.listener.head(status, List.of());
+		}
+
 		void head() {
 			this.listener.head(200, List.of(Header.newBuilder().setName("a").setValue("b").build()));
 		}
--- a/server/src/test/java/org/acaciamux/internal/coordination/admission/SuspectGateTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/admission/SuspectGateTests.java
@@ -102,6 +102,21 @@
 		assertEquals(fixture.backend.running().size(), 1);
 	}
 
+	/**
+	 * A server may answer 500 without having run the request to its end. If that cleared
+	 * the suspect, it would crash servers without limit.
+	 */
+	@Test
+	public void aSuspectThatFailsIsNotCleared() {
+		AgentFixture fixture = crashed(new AgentFixture());
+		submit(fixture, "suspect");
+		fixture.backend.last().status(500);
+		fixture.backend.last().end();
+		fixture.load = new PoolLoad(1, 0, 0);
+		Refused refused = fixture.link.refused(submit(fixture, "suspect")).orElseThrow();
+		assertEquals(refused.getFailureCode(), "request-suspect");
+	}
+
 	@Test
 	public void aSecondCrashAloneQuarantinesTheRequest() {
 		AgentFixture fixture = crashed(new AgentFixture());
