Close an idle connection to a server on which bytes arrive

An extra response of a server could be taken for the response to the next request of an agent, and bytes without end were read until the connection's idle time had passed. Cause: nothing read from an idle connection was looked at. Change: IdleGuard closes an idle connection on which anything arrives. Measured: bytesOnAnIdleConnectionCloseIt fails before (still open after 30 s) and passes after. aHeadWithoutEndIsReportedAsBrokenOff passes before and after.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/BackendConnections.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/BackendConnections.java
@@ -9,6 +9,8 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -16,6 +18,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.util.ReferenceCountUtil;
 
 import org.acaciamux.internal.state.LockRank;
 import org.acaciamux.internal.state.RankedLock;
@@ -77,6 +80,7 @@
 
 	private void useOrConnect(Channel channel, BiConsumer<Channel, Throwable> result) {
 		if (channel.isActive()) {
+			channel.pipeline().remove(IdleGuard.class);
 			result.accept(channel, null);
 			return;
 		}
@@ -99,6 +103,7 @@
 	 * @param channel the connection
 	 */
 	void release(Channel channel) {
+		channel.pipeline().addLast(new IdleGuard());
 		channel.config().setAutoRead(true);
 		boolean kept = this.lock.get(() -> !this.closed && channel.isActive()
 				&& this.idle.size() < this.settings.maxIdle() && this.idle.offerFirst(channel));
@@ -135,4 +140,19 @@
 		});
 	}
 
+	/**
+	 * Closes an idle connection on which anything arrives: it belongs to no request, and
+	 * must not be taken for the response to the next one. Confined to the connection's
+	 * event loop.
+	 */
+	private static final class IdleGuard extends ChannelInboundHandlerAdapter {
+
+		@Override
+		public void channelRead(ChannelHandlerContext context, Object message) {
+			ReferenceCountUtil.release(message);
+			context.close();
+		}
+
+	}
+
 }
--- a/server/src/test/java/org/acaciamux/internal/transport/http/BackendClientTests.java
+++ b/server/src/test/java/org/acaciamux/internal/transport/http/BackendClientTests.java
@@ -6,6 +6,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -89,6 +90,56 @@
 		}
 	}
 
+	/**
+	 * Bytes on an idle connection would otherwise be read without end, or be taken for
+	 * the response to the next request.
+	 */
+	@Test
+	public void bytesOnAnIdleConnectionCloseIt() throws Exception {
+		String[] extras = { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra", "x".repeat(100_000) };
+		for (String extra : extras) {
+			try (ScriptedServer server = new ScriptedServer()) {
+				BackendClient client = client(server.port(), false);
+				Response first = start(client, true);
+				Socket socket = server.accepted(true);
+				server.readRequest(socket);
+				send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood");
+				assertEquals(first.outcome(), "end");
+				send(socket, extra);
+				socket.setSoTimeout(WAIT_S * 1_000);
+				assertEquals(readToEnd(socket), -1);
+				client.close();
+			}
+		}
+	}
+
+	private static int readToEnd(Socket socket) {
+		try {
+			return socket.getInputStream().read();
+		}
+		catch (SocketTimeoutException ex) {
+			return 0;
+		}
+		catch (IOException ex) {
+			return -1;
+		}
+	}
+
+	/**
+	 * A head that does not end must not occupy memory or the connection.
+	 */
+	@Test
+	public void aHeadWithoutEndIsReportedAsBrokenOff() throws Exception {
+		try (ScriptedServer server = new ScriptedServer()) {
+			Response response = start(client(server.port(), false), true);
+			Socket socket = server.accepted(true);
+			server.readRequest(socket);
+			send(socket, "HTTP/1.1 200 OK\r\nX-Long: " + "x".repeat(1_000_000));
+			assertEquals(response.outcome(), "BROKEN_OFF");
+			assertEquals(readToEnd(socket), -1);
+		}
+	}
+
 	@Test
 	public void aMalformedResponseIsReportedAsBrokenOff() throws Exception {
 		try (ScriptedServer server = new ScriptedServer()) {
