--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/CrashObserver.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/CrashObserver.java
@@ -49,7 +49,7 @@
 		 * @return the name, in lower case
 		 */
 		public String label() {
-			return "crash-" + name().toLowerCase(Locale.ROOT);
+			return name().toLowerCase(Locale.ROOT);
 		}
 
 	}
--- a/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
@@ -116,7 +116,7 @@
 		DirectMetrics metrics = new DirectMetrics(this.registry);
 		this.suspects = new CrashSuspects(this.clock, (change, fingerprint, detail) -> {
 			metrics.crash(change);
-			log.line("event=" + change.label() + " fingerprint=" + Long.toHexString(fingerprint) + " " + detail);
+			log.line("event=crash-" + change.label() + " fingerprint=" + Long.toHexString(fingerprint) + " " + detail);
 		});
 		Placement placement = new Placement(this.servers,
 				new PlacementSettings(settings.promptTokensPerMs(), settings.stepMicrosPerRequest() / MICROS_PER_MS),
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
@@ -7,9 +7,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -45,8 +42,6 @@
 
 	private static final long NANOS_PER_MS = 1_000_000;
 
-	private static final double MS_PER_SECOND = 1000.0;
-
 	private final Set<String> tried = new HashSet<>();
 
 	private final DirectContext context;
@@ -81,8 +76,6 @@
 
 	private long slotFreeMs;
 
-	private long quarantinedMs;
-
 	private Admission.WaitClass waitClass;
 
 	private Optional<Endpoint> promptSource = Optional.empty();
@@ -99,7 +92,7 @@
 
 	private long lastDataAt;
 
-	private long fingerprint;
+	private CrashHistory crashes;
 
 	DirectExchange(DirectContext context, DirectCaller caller, HttpRequest head, ByteBuf body) {
 		this.context = context;
@@ -158,9 +151,7 @@
 		this.deadlineAt = this.startedAt + Math.min(this.request.waitMs(), this.route.timeoutMs()) * NANOS_PER_MS;
 		this.waitClass = this.context.admission().arrived(this.route, this.organisation);
 		this.context.budgets().recordRequest(this.service);
-		// An organisation may replace its key while it resends a request.
-		this.fingerprint = StableHash.of(this.request.uri(), this.organisation.map(Organisation::name).orElse(""))
-				^ (this.body.isReadable() ? this.body.hashCode() * 0x9E3779B97F4A7C15L : 0);
+		this.crashes = new CrashHistory(this.context, this.request, this.organisation, this.body);
 		send();
 	}
 
@@ -169,10 +160,9 @@
 			conclude(this.policy.giveUp(relayStarted()), "the time limit has passed");
 			return;
 		}
-		if (this.context.suspects().shouldRefuse(this.fingerprint)) {
-			this.quarantinedMs = this.context.suspects().refusedForMs(this.fingerprint);
-			conclude(this.policy.giveUp(relayStarted()), "request " + Long.toHexString(this.fingerprint)
-					+ " was running at several servers when they crashed");
+		if (this.crashes.refused()) {
+			conclude(this.policy.giveUp(relayStarted()),
+					"request " + this.crashes + " was running at several servers when they crashed");
 			return;
 		}
 		Optional<ServerState> chosen = this.context.placement().choose(this.service, this.request, this.tried);
@@ -207,9 +197,7 @@
 			return;
 		}
 		if (result.isLeft()) {
-			if (result.getLeft().unreachable()) {
-				this.context.suspects().lifetimeEnded(this.server.observedLifetime());
-			}
+			this.crashes.notConnected(result.getLeft(), this.server);
 			broken(SendResult.NOT_SENT, result.getLeft().reason());
 			return;
 		}
@@ -226,13 +214,10 @@
 		this.channel = result.get();
 		this.sends++;
 		this.context.placements().add(this.server.entry().id(), this.request.prompt());
-		this.channel.send(outgoing(remaining), this.request.attemptId(), this);
-	}
-
-	private FullHttpRequest outgoing(long remaining) {
-		return OutgoingRequest.of(this.head, this.body, this.context.format(),
-				new WireFormat.Forwarding(this.server.entry().id(), remaining,
-						this.organisation.map(Organisation::name), this.relay.lastEventId(), this.promptSource));
+		WireFormat.Forwarding forwarding = new WireFormat.Forwarding(this.server.entry().id(), remaining,
+				this.organisation.map(Organisation::name), this.relay.lastEventId(), this.promptSource);
+		this.channel.send(OutgoingRequest.of(this.head, this.body, this.context.format(), forwarding),
+				this.request.attemptId(), this);
 	}
 
 	@Override
@@ -243,9 +228,7 @@
 		int status = head.status().code();
 		Optional<SendResult> unusable = ResponsePolicy.unusable(status, reply.notRun(),
 				reply.sealed() && !reply.encoded(), this.route.repeatable(), relayStarted());
-		if (status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
-			this.context.suspects().lifetimeEnded(this.server.observedLifetime());
-		}
+		this.crashes.responded(status, this.server);
 		if (unusable.isPresent()) {
 			abandonSend(unusable.get(), "status " + status + (reply.notRun() ? ", not run" : ""));
 			return;
@@ -297,9 +280,7 @@
 		this.channel = null;
 		this.context.admission().answered(this.service, (this.context.now() - this.sentAt) / NANOS_PER_MS);
 		releaseServer();
-		if (!ResponsePolicy.failure(this.relay.status())) {
-			this.context.suspects().completed(this.fingerprint);
-		}
+		this.crashes.completed(this.relay.status());
 		close("answered", "status " + this.relay.status());
 		this.relay.end();
 	}
@@ -314,17 +295,15 @@
 		if (!result.notRun()) {
 			this.server.recordResult(true);
 		}
-		if (result == SendResult.BROKEN) {
-			this.context.crashCheck().brokeOff(this.fingerprint, this.server);
-		}
-		this.log.sendFailed(result, this.server.entry().id(), this.fingerprint, reason);
+		this.crashes.sendFailed(result, this.server);
+		this.log.sendFailed(result, this.server.entry().id(), this.crashes, reason);
 		releaseServer();
 		Decision decision = this.policy.after(result, relayStarted());
 		if (decision != Decision.SEND_AGAIN) {
 			conclude(decision, reason);
 			return;
 		}
-		if (!result.notRun() && this.context.suspects().oneCrashFromRefusal(this.fingerprint)) {
+		if (!this.crashes.allowsResend(result)) {
 			conclude(this.policy.giveUp(relayStarted()), "it has been running at crashed servers before: " + reason);
 			return;
 		}
@@ -341,10 +320,6 @@
 		send();
 	}
 
-	private boolean serverSilentSinceSend() {
-		return this.server.lastReceivedAt() - this.sentAt < 0;
-	}
-
 	private void releaseServer() {
 		if (this.server == null) {
 			return;
@@ -369,12 +344,12 @@
 	private void refuse(String reason) {
 		long leftMs = (this.deadlineAt - this.context.now()) / NANOS_PER_MS;
 		double random = (StableHash.mix(this.startedAt) >>> 11) / (double) (1L << 53);
-		// A caller that came back earlier would be refused again.
-		long ms = Math.max(this.quarantinedMs, Admission.retryAfterMs(this.slotFreeMs, leftMs, random));
-		HttpHeaders headers = OutgoingHeaders.FACTORY.newHeaders();
-		headers.set(HttpHeaderNames.RETRY_AFTER, String.valueOf(ms / MS_PER_SECOND));
+		// A caller that came back during a quarantine would be refused again.
+		long quarantinedMs = (this.crashes != null) ? this.crashes.refusedForMs() : 0;
+		long ms = Math.max(quarantinedMs, Admission.retryAfterMs(this.slotFreeMs, leftMs, random));
 		close("refused", reason);
-		this.caller.respond(HttpResponseStatus.SERVICE_UNAVAILABLE, headers, Unpooled.EMPTY_BUFFER);
+		this.caller.respond(HttpResponseStatus.SERVICE_UNAVAILABLE, OutgoingHeaders.retryAfter(ms),
+				Unpooled.EMPTY_BUFFER);
 	}
 
 	private void fail(String reason) {
@@ -404,9 +379,6 @@
 			return;
 		}
 		if (now >= this.deadlineAt) {
-			if (this.channel != null && serverSilentSinceSend()) {
-				this.context.crashCheck().silent(this.fingerprint, this.server);
-			}
 			cancelSend();
 			conclude(this.policy.giveUp(relayStarted()), "the time limit has passed");
 			return;
@@ -428,9 +400,7 @@
 			this.server.failedToReach(now);
 		}
 		if (this.route.repeatable()) {
-			if (serverSilentSinceSend()) {
-				this.context.crashCheck().silent(this.fingerprint, this.server);
-			}
+			this.crashes.givenUp(this.server, this.sentAt, true);
 			abandonSend(SendResult.SILENT, "no bytes for " + silentMs + " ms");
 		}
 	}
@@ -439,6 +409,7 @@
 		this.acquisitionNumber++;
 		if (this.channel != null) {
 			if (this.sentAt != 0) {
+				this.crashes.givenUp(this.server, this.sentAt, this.context.now() >= this.deadlineAt);
 				this.policy.after(SendResult.SILENT, relayStarted());
 			}
 			this.channel.cancel();
@@ -459,10 +430,6 @@
 	 */
 	void callerDisconnected() {
 		if (!this.ended) {
-			if (this.channel != null && serverSilentSinceSend()
-					&& SilencePolicy.unresponsive((this.context.now() - this.sentAt) / NANOS_PER_MS)) {
-				this.context.crashCheck().silent(this.fingerprint, this.server);
-			}
 			cancelSend();
 			close("caller-left", "the caller closed its connection");
 		}
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectMetrics.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectMetrics.java
@@ -79,7 +79,7 @@
 	 * @param change the change
 	 */
 	public void crash(CrashObserver.Change change) {
-		this.registry.counter(PREFIX + change.label()).inc();
+		this.registry.counter(PREFIX + "crash." + change.label()).inc();
 	}
 
 	void firstByte(long ms) {
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ExchangeLog.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ExchangeLog.java
@@ -64,9 +64,8 @@
 		this.lastChoice = choice;
 	}
 
-	void sendFailed(SendResult result, String server, long fingerprint, String reason) {
-		line("send-failed", result + " server=" + server + " fingerprint=" + Long.toHexString(fingerprint)
-				+ " reason=\"" + reason + "\"");
+	void sendFailed(SendResult result, String server, CrashHistory crashes, String reason) {
+		line("send-failed", result + " server=" + server + " fingerprint=" + crashes + " reason=\"" + reason + "\"");
 	}
 
 	void ended(String outcome, String reason, int sends, Set<String> servers) {
