Log how a response is framed and how long it was

Cause: the log of an answered request did not tell whether the server's response had a length, chunks or neither, so the hypotheses of the truncated response incident could not be told apart. Change: request-ended and send-failed carry framing and bytes of the response; no decision uses them.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
@@ -24,6 +24,7 @@
 import org.acaciamux.internal.coordination.direct.SilencePolicy;
 import org.acaciamux.internal.coordination.direct.TrafficConfig;
 import org.acaciamux.internal.state.StableHash;
+import org.acaciamux.internal.transport.http.BodyFraming;
 import org.acaciamux.settings.Endpoint;
 
 /**
@@ -226,6 +227,7 @@
 		this.lastDataAt = now;
 		reply.load().ifPresent((load) -> this.server.reported(load, now));
 		int status = head.status().code();
+		this.log.head(BodyFraming.of(head));
 		Optional<SendResult> unusable = ResponsePolicy.unusable(status, reply.notRun(),
 				reply.sealed() && !reply.encoded(), this.route.repeatable(), relayStarted());
 		this.crashes.responded(status, this.server);
@@ -250,7 +252,7 @@
 		if (this.channel == null) {
 			return;
 		}
-		recordData();
+		recordData(data.readableBytes());
 		boolean writable = this.relay.data(data);
 		if (this.relay.tooLong()) {
 			abandonSend(SendResult.BROKEN, "the response does not end");
@@ -265,9 +267,9 @@
 		return this.relay.started();
 	}
 
-	private void recordData() {
+	private void recordData(int length) {
 		this.lastDataAt = this.context.now();
-		this.log.data(this.lastDataAt);
+		this.log.data(this.lastDataAt, length);
 		this.server.promptRead(this.pendingTokens);
 		this.pendingTokens = 0;
 	}
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ExchangeLog.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ExchangeLog.java
@@ -1,9 +1,12 @@
 package org.acaciamux.internal.transport.http.direct;
 
+import java.util.Locale;
+import java.util.Optional;
 import java.util.Set;
 
 import org.acaciamux.internal.coordination.direct.SendResult;
 import org.acaciamux.internal.coordination.direct.TrafficConfig;
+import org.acaciamux.internal.transport.http.BodyFraming;
 
 /**
  * Writes the log lines and metrics of one request. Confined to the event loop.
@@ -28,6 +31,10 @@
 
 	private long longestPause;
 
+	private Optional<BodyFraming> framing = Optional.empty();
+
+	private long bytes;
+
 	ExchangeLog(DirectContext context, long startedAt) {
 		this.context = context;
 		this.startedAt = startedAt;
@@ -42,10 +49,21 @@
 	}
 
 	/**
-	 * Record bytes of the response.
+	 * Record the head of a response.
+	 * @param bodyFraming how the end of its body is marked
+	 */
+	void head(BodyFraming bodyFraming) {
+		this.framing = Optional.of(bodyFraming);
+		this.bytes = 0;
+	}
+
+	/**
+	 * Record bytes of the body of the response.
 	 * @param now the monotonic time in nanoseconds
+	 * @param length the number of bytes
 	 */
-	void data(long now) {
+	void data(long now, int length) {
+		this.bytes += length;
 		if (this.firstByteAt == 0) {
 			this.firstByteAt = now;
 			this.context.metrics().firstByte((now - this.startedAt) / NANOS_PER_MS);
@@ -65,7 +83,10 @@
 	}
 
 	void sendFailed(SendResult result, String server, CrashHistory crashes, String reason) {
-		line("send-failed", result + " server=" + server + " fingerprint=" + crashes + " reason=\"" + reason + "\"");
+		line("send-failed",
+				result + " server=" + server + " fingerprint=" + crashes + response() + " reason=\"" + reason + "\"");
+		this.framing = Optional.empty();
+		this.bytes = 0;
 	}
 
 	void ended(String outcome, String reason, int sends, Set<String> servers) {
@@ -74,8 +95,13 @@
 		this.context.metrics().ended(outcome, ms);
 		line("request-ended",
 				outcome + " sends=" + sends + " firstMs=" + first + " pauseMs=" + this.longestPause / NANOS_PER_MS
-						+ " ms=" + ms + " servers=" + servers + " lastChoice=" + this.lastChoice + " reason=\"" + reason
-						+ "\"");
+						+ " ms=" + ms + response() + " servers=" + servers + " lastChoice=" + this.lastChoice
+						+ " reason=\"" + reason + "\"");
+	}
+
+	private String response() {
+		String name = this.framing.map((value) -> value.name().toLowerCase(Locale.ROOT)).orElse("no-response");
+		return " framing=" + name + " bytes=" + this.bytes;
 	}
 
 	private void line(String event, String detail) {
