Keep the framing of the last response in the line of a request's end

Cause: a failed send cleared framing and bytes, so a response that broke off was logged as no-response in request-ended. Change: they are cleared when the next send begins.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ExchangeLog.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ExchangeLog.java
@@ -80,13 +80,13 @@
 
 	void sent(String choice) {
 		this.lastChoice = choice;
+		this.framing = Optional.empty();
+		this.bytes = 0;
 	}
 
 	void sendFailed(SendResult result, String server, CrashHistory crashes, String reason) {
 		line("send-failed",
 				result + " server=" + server + " fingerprint=" + crashes + response() + " reason=\"" + reason + "\"");
-		this.framing = Optional.empty();
-		this.bytes = 0;
 	}
 
 	void ended(String outcome, String reason, int sends, Set<String> servers) {
