--- a/server/src/test/java/org/acaciamux/internal/transport/http/BackendClientTests.java
+++ b/server/src/test/java/org/acaciamux/internal/transport/http/BackendClientTests.java
@@ -90,6 +90,79 @@
 		}
 	}
 
+	/**
+	 * A server that crashes closes its connections in the middle of an event; without
+	 * length and chunks nothing else tells that events are missing.
+	 */
+	@Test(groups = "known-red")
+	public void anEventStreamThatEndsInsideAnEventIsReportedAsBrokenOff() throws Exception {
+		String head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+		for (String body : List.of("data: a\n\nda", "data: a\n\ndata: b", "data: a\n\ndata: b\n")) {
+			assertEquals(outcomeOf(head + body), "BROKEN_OFF", body);
+		}
+		assertEquals(outcomeOf(head + "data: a\n\ndata: b\n\n"), "end");
+	}
+
+	@Test
+	public void aResponseThatIsShorterThanItsFramingSaysIsReportedAsBrokenOff() throws Exception {
+		for (String framing : List.of("Content-Length: 10\r\n\r\n0123456789",
+				"Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n4\r\nhalf\r\n0\r\nX-Trailer: 1\r\n\r\n")) {
+			String response = "HTTP/1.1 200 OK\r\n" + framing;
+			for (int length = 0; length < response.length(); length++) {
+				assertEquals(outcomeOf(response.substring(0, length)), "BROKEN_OFF", length + " bytes of " + framing);
+			}
+			assertEquals(outcomeOf(response), "end");
+		}
+	}
+
+	private String outcomeOf(String bytes) throws Exception {
+		try (ScriptedServer server = new ScriptedServer()) {
+			Response response = start(client(server.port(), false), true);
+			Socket socket = server.accepted(true);
+			server.readRequest(socket);
+			send(socket, bytes);
+			socket.close();
+			return response.outcome();
+		}
+	}
+
+	/**
+	 * The agent closes the connection to cancel a request; that must not be taken for the
+	 * end of a response that ends with its connection. The response of a call with an
+	 * idempotency key would otherwise be kept and given to those who repeat the call.
+	 */
+	@Test(groups = "known-red")
+	public void aCancelledResponseWithoutLengthIsNotComplete() throws Exception {
+		try (ScriptedServer server = new ScriptedServer()) {
+			Response response = new Response();
+			Backend.Call call = client(server.port(), false).start(request(true), response);
+			Socket socket = server.accepted(true);
+			server.readRequest(socket);
+			send(socket, "HTTP/1.1 200 OK\r\n\r\nhalf");
+			while (response.received.get() < 4) {
+				Thread.sleep(1);
+			}
+			call.cancel();
+			assertEquals(response.outcome(), "CANCELLED");
+		}
+	}
+
+	@Test
+	public void aResponseWithoutLengthThatIsResetIsReportedAsBrokenOff() throws Exception {
+		try (ScriptedServer server = new ScriptedServer()) {
+			Response response = start(client(server.port(), false), true);
+			Socket socket = server.accepted(true);
+			server.readRequest(socket);
+			send(socket, "HTTP/1.1 200 OK\r\n\r\nhalf");
+			while (response.received.get() < 4) {
+				Thread.sleep(1);
+			}
+			socket.setSoLinger(true, 0);
+			socket.close();
+			assertEquals(response.outcome(), "BROKEN_OFF");
+		}
+	}
+
 	/**
 	 * Bytes on an idle connection would otherwise be read without end, or be taken for
 	 * the response to the next request.
