Break off responses that end inside an event

Callers saw: streams of crashed servers with a proper end and without their last events, on routers without agents. Cause: a server may send a stream with neither length nor chunks. The decoder reports the end of such a response whenever the connection closes, and the router took every reported end for the whole response. Change: the connection checks the end of each response. A stream of events that ends inside an event, or with its connection before its first event, is broken off like a reset: resumed where the route allows it, otherwise not completed. A response to HEAD has no events. Why this works: a crash cuts a stream at any byte; the server marks the end of each event by an empty line, which the cut part lacks.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/BodyFraming.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/BodyFraming.java
@@ -1,5 +1,6 @@
 package org.acaciamux.internal.transport.http;
 
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -26,13 +27,14 @@
 	private static final int NOT_MODIFIED = 304;
 
 	/**
-	 * Return the framing of a response to a request other than HEAD.
+	 * Return the framing of a response.
+	 * @param method the method of the request
 	 * @param response the head of the response
 	 * @return the framing of its body
 	 */
-	public static BodyFraming of(HttpResponse response) {
+	public static BodyFraming of(HttpMethod method, HttpResponse response) {
 		int status = response.status().code();
-		if (status == NO_CONTENT || status == NOT_MODIFIED
+		if (method.equals(HttpMethod.HEAD) || status == NO_CONTENT || status == NOT_MODIFIED
 				|| response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
 			return NONE;
 		}
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
@@ -218,7 +218,7 @@
 		WireFormat.Forwarding forwarding = new WireFormat.Forwarding(this.server.entry().id(), remaining,
 				this.organisation.map(Organisation::name), this.relay.lastEventId(), this.promptSource);
 		this.channel.send(OutgoingRequest.of(this.head, this.body, this.context.format(), forwarding),
-				this.request.attemptId(), this);
+				this.request.attemptId(), this.route.streaming(), this);
 	}
 
 	@Override
@@ -227,7 +227,7 @@
 		this.lastDataAt = now;
 		reply.load().ifPresent((load) -> this.server.reported(load, now));
 		int status = head.status().code();
-		this.log.head(BodyFraming.of(head));
+		this.log.head(BodyFraming.of(this.head.method(), head));
 		Optional<SendResult> unusable = ResponsePolicy.unusable(status, reply.notRun(),
 				reply.sealed() && !reply.encoded(), this.route.repeatable(), relayStarted());
 		this.crashes.responded(status, this.server);
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
@@ -1,6 +1,7 @@
 package org.acaciamux.internal.transport.http.direct;
 
 import java.io.IOException;
+import java.util.Optional;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -9,6 +10,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
@@ -16,6 +18,7 @@
 import io.netty.util.ReferenceCountUtil;
 
 import org.acaciamux.internal.coordination.direct.SendResult;
+import org.acaciamux.internal.transport.http.ResponseEnd;
 
 /**
  * One connection to a backend server, which carries one request at a time. Invariants: a
@@ -68,7 +71,12 @@
 
 	private int skippedBytes;
 
-	private boolean responseStarted;
+	private HttpMethod method = HttpMethod.GET;
+
+	private boolean eventsExpected;
+
+	/** The end of the response that is being read, null while there is none. */
+	private ResponseEnd responseEnd;
 
 	private boolean requestWritten;
 
@@ -115,11 +123,20 @@
 		return this.reused;
 	}
 
-	void send(FullHttpRequest request, String attempt, ServerListener receiver) {
+	/**
+	 * Send a request.
+	 * @param request the request
+	 * @param attempt the attempt id that the response must carry
+	 * @param events whether a response without a content type is a stream of events
+	 * @param receiver receives the response
+	 */
+	void send(FullHttpRequest request, String attempt, boolean events, ServerListener receiver) {
 		this.listener = receiver;
 		this.attemptId = attempt;
+		this.method = request.method();
+		this.eventsExpected = events;
 		this.requestWritten = false;
-		this.responseStarted = false;
+		this.responseEnd = null;
 		this.skippedResponses = 0;
 		this.skippedBytes = 0;
 		this.channel.writeAndFlush(request).addListener((ChannelFutureListener) (future) -> {
@@ -192,8 +209,8 @@
 			return;
 		}
 		this.skippingResponse = false;
-		this.responseStarted = true;
-		if (!HttpUtil.isKeepAlive(response) || endsWithConnection(response)) {
+		this.responseEnd = ResponseEnd.of(this.method, response, this.eventsExpected);
+		if (!HttpUtil.isKeepAlive(response) || this.responseEnd.withConnection()) {
 			this.reusable = false;
 		}
 		readKeepAlive(response);
@@ -207,10 +224,6 @@
 		}
 	}
 
-	private static boolean endsWithConnection(HttpResponse response) {
-		return !HttpUtil.isTransferEncodingChunked(response) && !HttpUtil.isContentLengthSet(response);
-	}
-
 	private void readKeepAlive(HttpResponse response) {
 		String value = response.headers().get("Keep-Alive");
 		if (value == null) {
@@ -237,23 +250,34 @@
 			}
 			return;
 		}
-		if (!this.responseStarted) {
+		if (this.responseEnd == null) {
 			return;
 		}
 		ServerListener receiver = this.listener;
 		ByteBuf data = content.content();
 		if (data.isReadable()) {
 			this.owner.received(this.serverId);
+			this.responseEnd.data(data);
 			receiver.data(data);
 		}
 		if (last && this.listener == receiver) {
-			this.listener = null;
-			this.responseStarted = false;
-			finish();
-			receiver.end();
+			end();
 		}
 	}
 
+	private void end() {
+		Optional<String> truncation = this.responseEnd.truncation();
+		this.responseEnd = null;
+		if (truncation.isPresent()) {
+			broken(truncation.get());
+			return;
+		}
+		ServerListener receiver = this.listener;
+		this.listener = null;
+		finish();
+		receiver.end();
+	}
+
 	private void finish() {
 		this.reused = true;
 		this.channel.config().setAutoRead(true);
