Reset the connection of an HTTP/1.0 caller whose stream broke off

Callers saw: a caller of HTTP/1.0, which gets no chunks, received the start of a broken stream and a regular close, which is the end of a whole response. Cause: routers without agents closed the connection for any incomplete response. A process that is killed leaves such connections to the system, which closes them regularly too. Evidence: brokenStreamResetsTheConnectionOfACallerWithoutChunks fails on the logic of ([closed] instead of [reset]). Change: such a connection resets when it is closed, from the head of the response until its last byte is written.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
@@ -26,11 +26,13 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 
+import org.acaciamux.internal.transport.http.ResetOnClose;
+
 /**
  * One connection of a caller. Invariants: requests are answered one at a time in the
- * order received; an incomplete response ends by closing the connection, so that it never
- * looks complete; when the caller closes its connection, the current request is
- * cancelled. Confined to the event loop.
+ * order received; an incomplete response ends by closing the connection, or by resetting
+ * it if it has no chunks, so that it never looks complete; when the caller closes its
+ * connection, the current request is cancelled. Confined to the event loop.
  */
 final class DirectCaller extends ChannelInboundHandlerAdapter {
 
@@ -211,6 +213,7 @@
 		}
 		else {
 			this.keepAlive = false;
+			ResetOnClose.enable(this.channel);
 		}
 		markIfLast(response);
 		this.channel.write(response);
@@ -226,9 +229,12 @@
 
 	void endStream() {
 		boolean last = !this.keepAlive || this.context.draining();
-		this.channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
-			.addListener(last ? ChannelFutureListener.CLOSE : (future) -> {
-			});
+		this.channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener((future) -> {
+			if (last) {
+				ResetOnClose.disable(this.channel);
+				this.channel.close();
+			}
+		});
 		finished(last);
 	}
 
