Reset connections of HTTP/1.0 callers if the router stops

Callers saw: a caller of HTTP/1.0 whose router, one with agents, stopped in the middle of a response received a regular close, which is the end of a whole response. Cause: the connection was set to end with a reset only when the router broke off the response itself. Change: such a connection resets whenever it is closed, from the head of the response until its last byte is written, as on routers without agents.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/CallerResponse.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/CallerResponse.java
@@ -6,7 +6,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -174,6 +173,9 @@
 			this.endsWithClose = !chunks;
 			this.keepAlive = this.keepAlive && chunks;
 		}
+		if (this.endsWithClose) {
+			ResetOnClose.enable(this.context.channel());
+		}
 		HttpUtil.setKeepAlive(response, this.keepAlive);
 	}
 
@@ -239,6 +241,9 @@
 	private void finish(ChannelFuture written) {
 		written.addListener((future) -> {
 			if (future.isSuccess()) {
+				if (this.endsWithClose) {
+					ResetOnClose.disable(this.context.channel());
+				}
 				this.completionListener.responded(this.keepAlive);
 			}
 		});
@@ -249,11 +254,6 @@
 		if (this.call != null) {
 			this.call.cancel();
 		}
-		if (this.endsWithClose) {
-			// Without chunked encoding, only a reset tells the caller that the response
-			// is incomplete.
-			this.context.channel().config().setOption(ChannelOption.SO_LINGER, 0);
-		}
 		this.context.close();
 	}
 
--- a/server/src/test/java/org/acaciamux/internal/transport/http/HttpFrontendTests.java
+++ b/server/src/test/java/org/acaciamux/internal/transport/http/HttpFrontendTests.java
@@ -170,6 +170,35 @@
 		}
 	}
 
+	/**
+	 * A router that stops, or is killed, closes its connections; that must not complete a
+	 * response that ends with its connection.
+	 */
+	@Test
+	public void aResponseWithoutChunksEndsWithAResetIfTheRouterStops() throws Exception {
+		try (HttpCaller caller = new HttpCaller(this.address)) {
+			caller.send("GET /pools/chat/x HTTP/1.0\r\n\r\n");
+			Call call = nextCall();
+			call.sink.head(head(), "id-1");
+			call.sink.body(ByteString.copyFromUtf8("first"));
+			caller.readUntil("first");
+			this.loops.shutdownGracefully(0, 20, TimeUnit.SECONDS);
+			assertThrows(IOException.class, caller::readToEnd);
+		}
+	}
+
+	@Test
+	public void aCompleteResponseWithoutChunksEndsWithoutAReset() throws Exception {
+		try (HttpCaller caller = new HttpCaller(this.address)) {
+			caller.send("GET /pools/chat/x HTTP/1.0\r\n\r\n");
+			Call call = nextCall();
+			call.sink.head(head(), "id-1");
+			call.sink.body(ByteString.copyFromUtf8("first"));
+			call.sink.end();
+			assertTrue(caller.readToEnd().endsWith("first"));
+		}
+	}
+
 	@Test
 	public void aResponseShorterThanItsContentLengthDoesNotLookComplete() throws Exception {
 		try (HttpCaller caller = new HttpCaller(this.address)) {
