Write nothing after the head of a response to HEAD

Callers saw: a HEAD request on a route that streams was answered with a head and a last chunk, which the caller takes for the start of the next response. Cause: routers without agents encoded the response like one to GET. Evidence: responseToAHeadRequestHasNoBytesAfterItsHead fails for both kinds of streams on the commit before. Change: the encoder writes no body for a request with HEAD. Further tests of the class: ambiguous responses, large bodies that are reset, and requests that are cut at every byte pass on the code before.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -62,6 +63,8 @@
 
 	private boolean supportsChunks;
 
+	private boolean headRequested;
+
 	private boolean closing;
 
 	private long headerSince;
@@ -132,6 +135,7 @@
 		this.head = request;
 		this.headerSince = 0;
 		this.keepAlive = HttpUtil.isKeepAlive(request);
+		this.headRequested = request.method().equals(HttpMethod.HEAD);
 		this.supportsChunks = request.protocolVersion().equals(HttpVersion.HTTP_1_1);
 		this.body = Unpooled.EMPTY_BUFFER;
 		RequestFraming.problem(request).ifPresent((problem) -> refuseAndClose(HttpResponseStatus.BAD_REQUEST, problem));
@@ -223,6 +227,14 @@
 		this.channel.writeAndFlush(new DefaultHttpContent(data));
 	}
 
+	/**
+	 * Return whether the current request is a HEAD request, whose response has no body.
+	 * @return whether it is
+	 */
+	boolean answersHead() {
+		return this.headRequested;
+	}
+
 	boolean writable() {
 		return this.channel.isWritable();
 	}
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectFrontend.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectFrontend.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 
 import org.acaciamux.internal.coordination.direct.RequestLimits;
@@ -88,8 +89,16 @@
 		this.callers.add(caller);
 		HttpDecoderConfig config = new HttpDecoderConfig().setMaxInitialLineLength(MAX_LINE_BYTES)
 			.setMaxHeaderSize(limits().headerBytes());
-		channel.pipeline()
-			.addLast(arrivalRecorder(caller), new StrictDecoder(config), new HttpResponseEncoder(), caller);
+		channel.pipeline().addLast(arrivalRecorder(caller), new StrictDecoder(config), responseEncoder(caller), caller);
+	}
+
+	private static ChannelHandler responseEncoder(DirectCaller caller) {
+		return new HttpResponseEncoder() {
+			@Override
+			protected boolean isContentAlwaysEmpty(HttpResponse response) {
+				return caller.answersHead() || super.isContentAlwaysEmpty(response);
+			}
+		};
 	}
 
 	private static ChannelHandler arrivalRecorder(DirectCaller caller) {
