Break off responses with a transfer coding other than chunks

Callers saw: a body with the coding gzip was passed on as it was, without the header that tells of it, and as complete. Cause: routers without agents and agents drop the header Transfer-Encoding, as it concerns one connection, but read only the coding chunked. Change: a response with another transfer coding is broken off at its head.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/BackendExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/BackendExchange.java
@@ -198,6 +198,11 @@
 				return;
 			}
 			if (message instanceof HttpResponse response) {
+				Optional<String> unreadable = ResponseEnd.unreadable(response);
+				if (unreadable.isPresent()) {
+					breakOff(context, "The response cannot be read: " + unreadable.get());
+					return;
+				}
 				head(response);
 			}
 			if (message instanceof HttpContent content && !this.interim) {
--- a/server/src/main/java/org/acaciamux/internal/transport/http/ResponseEnd.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/ResponseEnd.java
@@ -45,6 +45,21 @@
 		return new ResponseEnd(BodyFraming.of(method, head), events && head.status().code() < FIRST_ERROR_STATUS);
 	}
 
+	/**
+	 * Check whether the body can be read: a coding other than chunks changes its bytes
+	 * and may hide where it ends.
+	 * @param head the head of the response
+	 * @return why it cannot, empty if it can
+	 */
+	public static Optional<String> unreadable(HttpResponse head) {
+		return head.headers()
+			.getAll(HttpHeaderNames.TRANSFER_ENCODING)
+			.stream()
+			.filter((coding) -> !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(coding.trim()))
+			.findFirst()
+			.map((coding) -> "the response has the transfer coding " + coding);
+	}
+
 	/**
 	 * Record the next bytes of the body.
 	 * @param data the bytes, which are not consumed
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
@@ -208,6 +208,11 @@
 			skipResponse();
 			return;
 		}
+		Optional<String> unreadable = ResponseEnd.unreadable(response);
+		if (unreadable.isPresent()) {
+			broken(unreadable.get());
+			return;
+		}
 		this.skippingResponse = false;
 		this.responseEnd = ResponseEnd.of(this.method, response, this.eventsExpected);
 		if (!HttpUtil.isKeepAlive(response) || this.responseEnd.withConnection()) {
--- a/server/src/test/java/org/acaciamux/internal/transport/http/TruncatedBackendResponseTests.java
+++ b/server/src/test/java/org/acaciamux/internal/transport/http/TruncatedBackendResponseTests.java
@@ -59,6 +59,16 @@
 		}
 	}
 
+	/**
+	 * The body would be passed on without its coding.
+	 */
+	@Test
+	public void aResponseWithAnotherTransferCodingIsReportedAsBrokenOff() throws Exception {
+		for (String coding : List.of("gzip\r\n\r\nhalf", "gzip, chunked\r\n\r\n4\r\nhalf\r\n0\r\n\r\n")) {
+			assertEquals(outcomeOf("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding), "BROKEN_OFF", coding);
+		}
+	}
+
 	private String outcomeOf(String bytes) throws Exception {
 		try (ScriptedServer server = new ScriptedServer()) {
 			CollectedResponse response = start(client(server));
