List a truncated cache export as known red

Cause: an agent uses the end of the connection as the end of a cache export that has no length. Measured: the test fails (4 of the bytes are taken for the whole export).

--- a/server/src/test/java/org/acaciamux/internal/transport/http/TruncatedBackendResponseTests.java
+++ b/server/src/test/java/org/acaciamux/internal/transport/http/TruncatedBackendResponseTests.java
@@ -2,6 +2,8 @@
 
 import java.net.Socket;
 import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 
 import com.google.protobuf.ByteString;
@@ -130,6 +132,24 @@
 		}
 	}
 
+	/**
+	 * Another engine would continue the chat with a part of its cache; nothing shows that
+	 * such an export is whole.
+	 */
+	@Test(groups = "known-red")
+	public void aCacheExportThatEndsWithItsConnectionIsNotUsed() throws Exception {
+		try (ScriptedServer server = new ScriptedServer()) {
+			BackendSettings settings = new BackendSettings("127.0.0.1", server.port(), true, WAIT_S * 1_000,
+					WAIT_S * 1_000, 64, WAIT_S * 1_000);
+			CompletionStage<Optional<ByteString>> export = new BackendClient(this.group, settings).exportChat("chat-1");
+			Socket socket = server.accepted(true);
+			server.readRequest(socket);
+			ScriptedServer.send(socket, "HTTP/1.1 200 OK\r\n\r\nhalf");
+			socket.close();
+			assertEquals(export.toCompletableFuture().get(WAIT_S, TimeUnit.SECONDS), Optional.empty());
+		}
+	}
+
 	private BackendClient client(ScriptedServer server) {
 		return client(this.group, server);
 	}
