Test that JSON that is cut short is rejected

Cause: a response of the store without length may be truncated without notice; only its JSON shows it. Change: a test that cuts a text at every byte. Measured: passes on the code as it is.

--- a/server/src/test/java/org/acaciamux/internal/protocol/JsonTreesTests.java
+++ b/server/src/test/java/org/acaciamux/internal/protocol/JsonTreesTests.java
@@ -29,6 +29,18 @@
 		assertEquals(new String(JsonTrees.write(JsonTrees.read(bytes)), StandardCharsets.UTF_8), expected);
 	}
 
+	/**
+	 * A response of the store that has no length may be truncated without notice.
+	 */
+	@Test
+	public void textThatIsCutShortIsRejected() {
+		String text = "{\"a\":[1,{\"b\":\"c\"}],\"d\":12}";
+		for (int length = 0; length < text.length(); length++) {
+			byte[] bytes = text.substring(0, length).getBytes(StandardCharsets.UTF_8);
+			assertThrows(IOException.class, () -> JsonTrees.read(bytes));
+		}
+	}
+
 	@Test
 	public void malformedTextIsRejected() {
 		for (String text : new String[] { "", "{", "{\"a\":", "[1,", "{} {}", "nonsense" }) {
