--- a/server/src/test/java/org/acaciamux/internal/transport/http/HttpFrontendTests.java
+++ b/server/src/test/java/org/acaciamux/internal/transport/http/HttpFrontendTests.java
@@ -157,13 +157,18 @@
 		}
 	}
 
+	private Call startWithoutChunks(HttpCaller caller) throws Exception {
+		caller.send("GET /pools/chat/x HTTP/1.0\r\n\r\n");
+		Call call = nextCall();
+		call.sink.head(head(), "id-1");
+		call.sink.body(ByteString.copyFromUtf8("first"));
+		return call;
+	}
+
 	@Test
 	public void aBrokenResponseWithoutChunksEndsWithAReset() throws Exception {
 		try (HttpCaller caller = new HttpCaller(this.address)) {
-			caller.send("GET /pools/chat/x HTTP/1.0\r\n\r\n");
-			Call call = nextCall();
-			call.sink.head(head(), "id-1");
-			call.sink.body(ByteString.copyFromUtf8("first"));
+			Call call = startWithoutChunks(caller);
 			caller.readUntil("first");
 			call.sink.abort(Failure.unknown(FailureCode.AGENT_LOST, "why", 0));
 			assertThrows(IOException.class, caller::readToEnd);
@@ -177,10 +182,7 @@
 	@Test
 	public void aResponseWithoutChunksEndsWithAResetIfTheRouterStops() throws Exception {
 		try (HttpCaller caller = new HttpCaller(this.address)) {
-			caller.send("GET /pools/chat/x HTTP/1.0\r\n\r\n");
-			Call call = nextCall();
-			call.sink.head(head(), "id-1");
-			call.sink.body(ByteString.copyFromUtf8("first"));
+			Call call = startWithoutChunks(caller);
 			caller.readUntil("first");
 			this.loops.shutdownGracefully(0, 20, TimeUnit.SECONDS);
 			assertThrows(IOException.class, caller::readToEnd);
@@ -190,10 +192,7 @@
 	@Test
 	public void aCompleteResponseWithoutChunksEndsWithoutAReset() throws Exception {
 		try (HttpCaller caller = new HttpCaller(this.address)) {
-			caller.send("GET /pools/chat/x HTTP/1.0\r\n\r\n");
-			Call call = nextCall();
-			call.sink.head(head(), "id-1");
-			call.sink.body(ByteString.copyFromUtf8("first"));
+			Call call = startWithoutChunks(caller);
 			call.sink.end();
 			assertTrue(caller.readToEnd().endsWith("first"));
 		}
