--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
@@ -23,8 +23,8 @@
 /**
  * One connection to a backend server, which carries one request at a time. Invariants: a
  * response reaches the listener only if it carries the attempt id of the current request;
- * a connection on which anything unexpected arrived is not used again. Confined to the
- * event loop.
+ * its end is reported only if nothing shows that a part of it is missing; a connection on
+ * which anything unexpected arrived is not used again. Confined to the event loop.
  */
 final class ServerChannel extends SimpleChannelInboundHandler<HttpObject> {
 
