Log and count messages of other routers that cannot be read

Change: event=peer-message-unreadable with sender and size, at most one line a second, and a counter. No change of logic.

--- a/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
@@ -128,7 +128,7 @@
 		DirectoryParts parts = new DirectoryParts(settings, this.loop, this.clock, log);
 		this.directory = directories.create(parts).orElseThrow();
 		this.peers = new PeerExchange(parts, this.clock.nanoTime(), this.directory, this.servers, this.loads,
-				this.suspects, this.context.placements());
+				this.suspects, this.context.placements(), metrics);
 	}
 
 	/**
--- a/server/src/main/java/org/acaciamux/internal/process/direct/PeerExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/PeerExchange.java
@@ -33,6 +33,7 @@
 import org.acaciamux.internal.coordination.direct.StateFetchPolicy;
 import org.acaciamux.internal.event.DecisionLog;
 import org.acaciamux.internal.transport.http.PlatformHttpClient;
+import org.acaciamux.internal.transport.http.direct.DirectMetrics;
 import org.acaciamux.settings.Endpoint;
 
 /**
@@ -75,6 +76,9 @@
 	 */
 	private static final long MAX_PAGE_AGE_NANOS = 1_000_000_000L;
 
+	/** Shortest time between two log lines of unreadable messages, in nanoseconds. */
+	private static final long UNREADABLE_LOG_INTERVAL_NANOS = 1_000_000_000L;
+
 	/** Number of routers that save placements. */
 	private static final int SAVING_ROUTERS = 2;
 
@@ -104,6 +108,8 @@
 
 	private final RecentPlacements placements;
 
+	private final DirectMetrics metrics;
+
 	private final DecisionLog log;
 
 	private Channel channel;
@@ -114,12 +120,16 @@
 
 	private boolean placementsRequested;
 
+	private boolean unreadableLogged;
+
+	private long unreadableLoggedAt;
+
 	private byte[] page;
 
 	private long pageAt;
 
 	PeerExchange(DirectoryParts parts, long incarnation, Directory directory, ServerTable servers, FleetLoads loads,
-			CrashSuspects suspects, RecentPlacements placements) {
+			CrashSuspects suspects, RecentPlacements placements, DirectMetrics metrics) {
 		this.loop = parts.loop();
 		this.clock = parts.clock();
 		this.router = parts.settings().id();
@@ -131,6 +141,7 @@
 		this.loads = loads;
 		this.suspects = suspects;
 		this.placements = placements;
+		this.metrics = metrics;
 	}
 
 	ChannelFuture bind() {
@@ -139,7 +150,9 @@
 			.handler(new SimpleChannelInboundHandler<DatagramPacket>() {
 				@Override
 				protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
-					PeerMessage.decode(ByteBufUtil.getBytes(packet.content())).ifPresent(PeerExchange.this::received);
+					byte[] bytes = ByteBufUtil.getBytes(packet.content());
+					PeerMessage.decode(bytes)
+						.ifPresentOrElse(PeerExchange.this::received, () -> unreadable(packet.sender(), bytes.length));
 				}
 
 				@Override
@@ -197,6 +210,17 @@
 		send();
 	}
 
+	private void unreadable(InetSocketAddress sender, int bytes) {
+		this.metrics.unreadablePeerMessage();
+		long now = this.clock.nanoTime();
+		if (this.unreadableLogged && now - this.unreadableLoggedAt < UNREADABLE_LOG_INTERVAL_NANOS) {
+			return;
+		}
+		this.unreadableLogged = true;
+		this.unreadableLoggedAt = now;
+		this.log.line("event=peer-message-unreadable peer=" + sender + " bytes=" + bytes);
+	}
+
 	private void received(PeerMessage message) {
 		Endpoint.parse(message.peer()).ifPresent((peer) -> {
 			addPeer(peer);
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectMetrics.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectMetrics.java
@@ -31,6 +31,8 @@
 
 	private final Counter resumes;
 
+	private final Counter unreadablePeerMessages;
+
 	private final Histogram firstByteMs;
 
 	private final Histogram totalMs;
@@ -46,6 +48,7 @@
 		this.foreignResponses = registry.counter(PREFIX + "foreign-responses");
 		this.retries = registry.counter(PREFIX + "retries");
 		this.resumes = registry.counter(PREFIX + "resumes");
+		this.unreadablePeerMessages = registry.counter(PREFIX + "unreadable-peer-messages");
 		this.firstByteMs = histogram(PREFIX + "first-byte-ms");
 		this.totalMs = histogram(PREFIX + "total-ms");
 	}
@@ -82,6 +85,13 @@
 		this.registry.counter(PREFIX + "crash." + change.label()).inc();
 	}
 
+	/**
+	 * Count a message of another router that cannot be read.
+	 */
+	public void unreadablePeerMessage() {
+		this.unreadablePeerMessages.inc();
+	}
+
 	void firstByte(long ms) {
 		this.firstByteMs.update(ms);
 	}
