Move the datagrams of the exchange between routers into PeerSocket

Cause: PeerExchange holds what is exchanged and also how bytes are sent and received; the fix of messages that are cut short touches the latter.

Change: no change of behaviour. PeerSocket binds, sends, decodes and logs what is lost; PeerExchange keeps the state.

Result: PeerMessageTests, CrashSuspectsTests and MetricCatalogueTests pass.

--- a/server/src/main/java/org/acaciamux/internal/process/direct/PeerExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/PeerExchange.java
@@ -10,16 +10,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
-import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.DatagramPacket;
-import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.netty.handler.codec.http.HttpMethod;
 import org.agrona.concurrent.NanoClock;
 
@@ -76,9 +68,6 @@
 	 */
 	private static final long MAX_PAGE_AGE_NANOS = 1_000_000_000L;
 
-	/** Shortest time between two log lines of unreadable messages, in nanoseconds. */
-	private static final long UNREADABLE_LOG_INTERVAL_NANOS = 1_000_000_000L;
-
 	/** Number of routers that save placements. */
 	private static final int SAVING_ROUTERS = 2;
 
@@ -108,22 +97,16 @@
 
 	private final RecentPlacements placements;
 
-	private final DirectMetrics metrics;
+	private final PeerSocket socket;
 
 	private final DecisionLog log;
 
-	private Channel channel;
-
 	private long sequence;
 
 	private boolean leaving;
 
 	private boolean placementsRequested;
 
-	private boolean unreadableLogged;
-
-	private long unreadableLoggedAt;
-
 	private byte[] page;
 
 	private long pageAt;
@@ -141,28 +124,11 @@
 		this.loads = loads;
 		this.suspects = suspects;
 		this.placements = placements;
-		this.metrics = metrics;
+		this.socket = new PeerSocket(parts, metrics);
 	}
 
 	ChannelFuture bind() {
-		ChannelFuture bound = new Bootstrap().group(this.loop)
-			.channel(NioDatagramChannel.class)
-			.handler(new SimpleChannelInboundHandler<DatagramPacket>() {
-				@Override
-				protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
-					byte[] bytes = ByteBufUtil.getBytes(packet.content());
-					PeerMessage.decode(bytes)
-						.ifPresentOrElse(PeerExchange.this::received, () -> unreadable(packet.sender(), bytes.length));
-				}
-
-				@Override
-				public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-					PeerExchange.this.log.line("event=peer-socket-error reason=\"" + cause + "\"");
-				}
-			})
-			.bind(this.self.toSocketAddress());
-		this.channel = bound.channel();
-		return bound;
+		return this.socket.bind(this.self, this::received);
 	}
 
 	void addPeer(Endpoint peer) {
@@ -186,41 +152,22 @@
 				inFlight.put(server.entry().id(), server.inFlight());
 			}
 		}
-		byte[] bytes = new PeerMessage(this.router, this.self.toString(), this.incarnation, ++this.sequence,
-				this.leaving, this.directory.freshness(), inFlight, this.suspects.report(), this.placements.drain())
-			.encode();
-		for (Peer peer : ExchangePolicy.receivers(this.peers.values(), this.random)) {
-			this.channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), peer.address))
-				.addListener((ChannelFuture sent) -> logFailedSend(peer, bytes.length, sent));
-		}
-		this.channel.flush();
+		PeerMessage message = new PeerMessage(this.router, this.self.toString(), this.incarnation, ++this.sequence,
+				this.leaving, this.directory.freshness(), inFlight, this.suspects.report(), this.placements.drain());
+		this.socket.send(message,
+				ExchangePolicy.receivers(this.peers.values(), this.random)
+					.stream()
+					.map((peer) -> peer.address)
+					.toList());
 		this.loads.routers(this.peers.size());
 		this.servers.peersInFlight(this.loads.inFlight());
 	}
 
-	private void logFailedSend(Peer peer, int bytes, ChannelFuture sent) {
-		if (!sent.isSuccess()) {
-			this.log.line("event=peer-send-failed peer=" + peer.address + " bytes=" + bytes + " reason=\""
-					+ sent.cause() + "\"");
-		}
-	}
-
 	void leave() {
 		this.leaving = true;
 		send();
 	}
 
-	private void unreadable(InetSocketAddress sender, int bytes) {
-		this.metrics.unreadablePeerMessage();
-		long now = this.clock.nanoTime();
-		if (this.unreadableLogged && now - this.unreadableLoggedAt < UNREADABLE_LOG_INTERVAL_NANOS) {
-			return;
-		}
-		this.unreadableLogged = true;
-		this.unreadableLoggedAt = now;
-		this.log.line("event=peer-message-unreadable peer=" + sender + " bytes=" + bytes);
-	}
-
 	private void received(PeerMessage message) {
 		Endpoint.parse(message.peer()).ifPresent((peer) -> {
 			addPeer(peer);
