Divide messages between routers into datagrams of one packet

What callers saw: a request that crashes servers was run by servers of the whole service again and again, although one router refused it.

Cause: a router's message to the others is one datagram. The receive buffer of the socket holds 2,048 bytes (the default), the rest of a datagram is discarded, and what is left is no JSON. Each crash of a loaded server leaves a record for each request in flight, up to 32 of which are in every message; from about 15 records on a router was not heard at all: neither its crashes nor its load, nor that its state of the directory is newer.

RequestThatCrashesServersTests# crashesAreKnownEverywhereAfterLoadedServersCrashed failed before with peer-message-unreadable bytes=2048.

Change: PeerDatagrams divides a message into datagrams of at most 1,400 bytes with the same sequence number; FleetLoads adds up the parts of one message. The receive buffer takes 16,384 bytes, more than routers of older versions send. An older router counts the load of the first part only.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/FleetLoads.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/FleetLoads.java
@@ -32,18 +32,23 @@
 	}
 
 	/**
-	 * Record a message of another router.
+	 * Record a message of another router, or one of the parts of a long one.
 	 * @param router the router's id
 	 * @param incarnation the incarnation of its process
-	 * @param sequence the message's number within the incarnation
+	 * @param sequence the message's number within the incarnation, the same for all parts
 	 * @param inFlight its requests in flight by server id
 	 */
 	public void report(String router, long incarnation, long sequence, Map<String, Integer> inFlight) {
 		Report last = this.reports.get(router);
-		if (last != null && last.incarnation == incarnation && last.sequence >= sequence) {
+		boolean sameProcess = last != null && last.incarnation == incarnation;
+		if (sameProcess && last.sequence > sequence) {
 			return;
 		}
-		this.reports.put(router, new Report(incarnation, sequence, this.clock.nanoTime(), inFlight));
+		Map<String, Integer> merged = new HashMap<>(inFlight);
+		if (sameProcess && last.sequence == sequence) {
+			merged.putAll(last.inFlight);
+		}
+		this.reports.put(router, new Report(incarnation, sequence, this.clock.nanoTime(), merged));
 	}
 
 	/**
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/PeerDatagrams.java
@@ -0,0 +1,86 @@
+package org.acaciamux.internal.process.direct;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.acaciamux.internal.coordination.direct.CrashSuspects.Crashes;
+import org.acaciamux.internal.coordination.direct.PromptPart;
+
+/**
+ * Divides a message into datagrams that fit one packet each. A longer datagram is sent in
+ * fragments, of which a lossy link loses some, and a receiver cuts it short if it exceeds
+ * its buffer. Invariants: no datagram is longer than {@link #MAX_BYTES}; each entry is in
+ * one datagram, unless it alone is too long for one. Holds no state.
+ */
+final class PeerDatagrams {
+
+	/**
+	 * Longest datagram in bytes: fits an Ethernet frame with the headers of IPv6 and UDP.
+	 */
+	static final int MAX_BYTES = 1_400;
+
+	private PeerDatagrams() {
+	}
+
+	/**
+	 * Encode a message.
+	 * @param message the message
+	 * @return the datagrams, each with the sender's state and a part of the entries
+	 */
+	static List<byte[]> of(PeerMessage message) {
+		List<byte[]> datagrams = new ArrayList<>();
+		addParts(message, datagrams);
+		return datagrams;
+	}
+
+	private static void addParts(PeerMessage message, List<byte[]> datagrams) {
+		byte[] bytes = message.encode();
+		if (bytes.length <= MAX_BYTES) {
+			datagrams.add(bytes);
+			return;
+		}
+		int entries = entries(message);
+		if (entries <= 1) {
+			return;
+		}
+		addParts(part(message, 0, entries / 2), datagrams);
+		addParts(part(message, entries / 2, entries), datagrams);
+	}
+
+	private static int entries(PeerMessage message) {
+		return message.inFlight().size() + message.crashes().size()
+				+ message.placements().values().stream().mapToInt(List::size).sum();
+	}
+
+	private static PeerMessage part(PeerMessage message, int from, int to) {
+		Map<String, Integer> inFlight = new HashMap<>();
+		Map<Long, Crashes> crashes = new HashMap<>();
+		Map<String, List<List<PromptPart>>> placements = new HashMap<>();
+		int index = 0;
+		for (Map.Entry<String, Integer> entry : message.inFlight().entrySet()) {
+			if (index >= from && index < to) {
+				inFlight.put(entry.getKey(), entry.getValue());
+			}
+			index++;
+		}
+		for (Map.Entry<Long, Crashes> entry : message.crashes().entrySet()) {
+			if (index >= from && index < to) {
+				crashes.put(entry.getKey(), entry.getValue());
+			}
+			index++;
+		}
+		for (Map.Entry<String, List<List<PromptPart>>> entry : message.placements().entrySet()) {
+			for (List<PromptPart> prompt : entry.getValue()) {
+				if (index >= from && index < to) {
+					placements.computeIfAbsent(entry.getKey(), (server) -> new ArrayList<>()).add(prompt);
+				}
+				index++;
+			}
+		}
+		return new PeerMessage(message.router(), message.peer(), message.incarnation(), message.sequence(),
+				message.leaving(), message.freshness(), inFlight, crashes, placements);
+	}
+
+}
--- a/server/src/main/java/org/acaciamux/internal/process/direct/PeerSocket.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/PeerSocket.java
@@ -11,7 +11,9 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
@@ -22,15 +24,22 @@
 import org.acaciamux.settings.Endpoint;
 
 /**
- * Sends and receives the datagrams of the exchange between routers. Invariant: a datagram
- * that is not sent or cannot be read leaves a line in the log, the latter at most once in
- * {@link #UNREADABLE_LOG_INTERVAL_NANOS}. Confined to the event loop.
+ * Sends and receives the datagrams of the exchange between routers. Invariants: each
+ * datagram sent fits one packet; one that is not sent or cannot be read leaves a line in
+ * the log, the latter at most once in {@link #UNREADABLE_LOG_INTERVAL_NANOS}. Confined to
+ * the event loop.
  */
 final class PeerSocket {
 
 	/** Shortest time between two log lines of unreadable messages, in nanoseconds. */
 	private static final long UNREADABLE_LOG_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+	/**
+	 * Longest datagram that is received whole, in bytes: routers that do not divide their
+	 * messages send up to this.
+	 */
+	private static final int RECEIVE_BYTES = 16_384;
+
 	private final EventLoop loop;
 
 	private final NanoClock clock;
@@ -61,6 +70,7 @@
 	ChannelFuture bind(Endpoint address, Consumer<PeerMessage> receiver) {
 		ChannelFuture bound = new Bootstrap().group(this.loop)
 			.channel(NioDatagramChannel.class)
+			.option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(RECEIVE_BYTES))
 			.handler(new SimpleChannelInboundHandler<DatagramPacket>() {
 				@Override
 				protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
@@ -96,10 +106,11 @@
 	 * @param receivers the addresses of the receivers
 	 */
 	void send(PeerMessage message, Collection<InetSocketAddress> receivers) {
-		byte[] bytes = message.encode();
-		for (InetSocketAddress receiver : receivers) {
-			this.channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), receiver))
-				.addListener((ChannelFuture sent) -> logFailedSend(receiver, bytes.length, sent));
+		for (byte[] bytes : PeerDatagrams.of(message)) {
+			for (InetSocketAddress receiver : receivers) {
+				this.channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), receiver))
+					.addListener((ChannelFuture sent) -> logFailedSend(receiver, bytes.length, sent));
+			}
 		}
 		this.channel.flush();
 	}
--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/FleetStateTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/FleetStateTests.java
@@ -241,6 +241,20 @@
 		assertFalse(SilencePolicy.shouldGiveUp(plain, 151, true, true, false));
 	}
 
+	/**
+	 * The load of a router whose message takes several datagrams must not shrink to what
+	 * is in the last one.
+	 */
+	@Test
+	public void loadsOfAllPartsOfAMessageCountInAnyOrder() {
+		FleetLoads loads = new FleetLoads(new ManualClock());
+		loads.report("r1", 1, 4, Map.of("a", 9));
+		loads.report("r1", 1, 5, Map.of("b", 2));
+		loads.report("r1", 1, 5, Map.of("a", 1));
+		loads.report("r1", 1, 5, Map.of("b", 2));
+		assertEquals(loads.inFlight(), Map.of("a", 1, "b", 2));
+	}
+
 	@Test
 	public void entryThatVanishesWithoutAnOutageIsRemovedAtOnce() {
 		assertEquals(DirectoryPolicy.keepVanishedMs(60_000, false), 0);
