Send nothing more to a server that announces in a response that it leaves

What callers saw: requests that reach a server after it has said that it leaves, and are cut off when it ends.

Cause: no code read the header Server-Leaving. A router learned of a leaving server from the store only, whose entry may come seconds later, or not at all while the router does not reach the store.

Change: each response with Server-Leaving: 1, of whatever status, request or position in the response, takes its server out of the usable ones for its lifetime; a misdirected response does not, because another server wrote it. Departures keeps the announcement whatever the directory lists. Messages to the other routers repeat it until the directory shows it. A connection that was being opened meanwhile is not used. The removal of such a server is not taken for a crash.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/ServerState.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/ServerState.java
@@ -1,7 +1,6 @@
 package org.acaciamux.internal.coordination.direct;
 
 import java.util.List;
-import java.util.Optional;
 
 import org.acaciamux.internal.state.StableHash;
 
@@ -77,13 +76,12 @@
 	}
 
 	/**
-	 * Return whether the next entry shows that this lifetime ended without notice.
-	 * @param next the next entry of the same id, empty if the id is no longer listed
-	 * @return whether it ended
+	 * Return whether the next entry shows that the server was restarted.
+	 * @param next the next entry of the same id
+	 * @return whether both entries tell a start and the starts differ
 	 */
-	boolean endsWith(Optional<ServerEntry> next) {
-		return next.map((entry) -> restarted(entry) && this.entry.startedMs() != 0 && entry.startedMs() != 0)
-			.orElse(!this.entry.draining());
+	boolean restartsWith(ServerEntry next) {
+		return restarted(next) && this.entry.startedMs() != 0 && next.startedMs() != 0;
 	}
 
 	private boolean restarted(ServerEntry next) {
--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/ServerTable.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/ServerTable.java
@@ -6,13 +6,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.agrona.concurrent.NanoClock;
 
 /**
  * The backend servers of all services. Invariants: the state of a server is kept as long
- * as its entry; {@link #usable} lists no server that is leaving or removed. Confined to
- * the event loop.
+ * as its entry; {@link #usable} lists no server that is removed, or that leaves according
+ * to the directory, one of its responses or another router, whichever said so first.
+ * Confined to the event loop.
  */
 public final class ServerTable {
 
@@ -22,6 +25,8 @@
 
 	private final Map<String, List<ServerState>> usable = new HashMap<>();
 
+	private final Departures departures;
+
 	private TrafficConfig config;
 
 	/**
@@ -30,6 +35,7 @@
 	 */
 	public ServerTable(NanoClock clock) {
 		this.clock = clock;
+		this.departures = new Departures(clock);
 	}
 
 	/**
@@ -45,20 +51,63 @@
 	 * Replace the entries of all servers.
 	 * @param entries the entries by id
 	 * @return lifetimes that ended without notice: the server restarted under its id, or
-	 * was removed while it was not draining
+	 * was removed while it was not leaving
 	 */
 	public List<String> replace(Map<String, ServerEntry> entries) {
 		List<String> ended = this.servers.values()
 			.stream()
-			.filter((server) -> server.endsWith(Optional.ofNullable(entries.get(server.entry().id()))))
+			.filter((server) -> endedWithoutNotice(server, entries))
 			.map(ServerState::observedLifetime)
 			.toList();
+		this.servers.values()
+			.stream()
+			.map(ServerState::entry)
+			.filter((entry) -> entry.startedMs() == 0 && !entries.containsKey(entry.id()))
+			.forEach((entry) -> this.departures.forget(entry.lifetime()));
 		this.servers.keySet().retainAll(entries.keySet());
 		entries.values().forEach(this::store);
 		index();
 		return ended;
 	}
 
+	private boolean endedWithoutNotice(ServerState server, Map<String, ServerEntry> entries) {
+		ServerEntry next = entries.get(server.entry().id());
+		return (next != null) ? server.restartsWith(next) : !leaves(server.entry());
+	}
+
+	private boolean leaves(ServerEntry entry) {
+		return entry.draining() || this.departures.contains(entry.lifetime());
+	}
+
+	/**
+	 * Record that a server leaves, because one of its responses or another router said
+	 * so. It gets no new requests in this lifetime, whatever the directory lists.
+	 * @param lifetime its {@link ServerEntry#lifetime()}
+	 * @return whether this was not known
+	 */
+	public boolean leaving(String lifetime) {
+		boolean known = findLifetime(lifetime).map(ServerState::entry).filter(this::leaves).isPresent();
+		boolean added = this.departures.add(lifetime);
+		if (added) {
+			index();
+		}
+		return added && !known;
+	}
+
+	/**
+	 * List the servers that leave although the directory does not show it yet, to tell
+	 * the other routers.
+	 * @return their lifetimes
+	 */
+	public Set<String> announcedDepartures() {
+		return this.servers.values()
+			.stream()
+			.map(ServerState::entry)
+			.filter((entry) -> !entry.draining() && leaves(entry))
+			.map(ServerEntry::lifetime)
+			.collect(Collectors.toSet());
+	}
+
 	private void store(ServerEntry entry) {
 		ServerState known = this.servers.get(entry.id());
 		if (known != null && known.entry().service().equals(entry.service())) {
@@ -78,7 +127,7 @@
 	private void index() {
 		this.usable.clear();
 		for (ServerState server : this.servers.values()) {
-			if (!server.entry().draining()) {
+			if (!leaves(server.entry())) {
 				this.usable.computeIfAbsent(server.entry().service(), (name) -> new ArrayList<>()).add(server);
 			}
 		}
@@ -93,6 +142,15 @@
 		return this.usable.getOrDefault(service, List.of());
 	}
 
+	/**
+	 * Return whether a server that was chosen earlier still accepts new requests.
+	 * @param server the server
+	 * @return whether it is still listed and does not leave
+	 */
+	public boolean isUsable(ServerState server) {
+		return this.servers.get(server.entry().id()) == server && !leaves(server.entry());
+	}
+
 	/**
 	 * Find a server.
 	 * @param id the server's id
--- a/server/src/main/java/org/acaciamux/internal/process/direct/PeerDatagrams.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/PeerDatagrams.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.acaciamux.internal.coordination.direct.CrashSuspects.Crashes;
 import org.acaciamux.internal.coordination.direct.PromptPart;
@@ -50,13 +52,14 @@
 	}
 
 	private static int entries(PeerMessage message) {
-		return message.inFlight().size() + message.crashes().size()
+		return message.inFlight().size() + message.crashes().size() + message.leavingServers().size()
 				+ message.placements().values().stream().mapToInt(List::size).sum();
 	}
 
 	private static PeerMessage part(PeerMessage message, int from, int to) {
 		Map<String, Integer> inFlight = new HashMap<>();
 		Map<Long, Crashes> crashes = new HashMap<>();
+		Set<String> leavingServers = new HashSet<>();
 		Map<String, List<List<PromptPart>>> placements = new HashMap<>();
 		int index = 0;
 		for (Map.Entry<String, Integer> entry : message.inFlight().entrySet()) {
@@ -71,6 +74,12 @@
 			}
 			index++;
 		}
+		for (String server : message.leavingServers()) {
+			if (index >= from && index < to) {
+				leavingServers.add(server);
+			}
+			index++;
+		}
 		for (Map.Entry<String, List<List<PromptPart>>> entry : message.placements().entrySet()) {
 			for (List<PromptPart> prompt : entry.getValue()) {
 				if (index >= from && index < to) {
@@ -80,7 +89,7 @@
 			}
 		}
 		return new PeerMessage(message.router(), message.peer(), message.incarnation(), message.sequence(),
-				message.leaving(), message.freshness(), inFlight, crashes, placements);
+				message.leaving(), message.freshness(), inFlight, crashes, leavingServers, placements);
 	}
 
 }
--- a/server/src/main/java/org/acaciamux/internal/process/direct/PeerExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/PeerExchange.java
@@ -153,7 +153,8 @@
 			}
 		}
 		PeerMessage message = new PeerMessage(this.router, this.self.toString(), this.incarnation, ++this.sequence,
-				this.leaving, this.directory.freshness(), inFlight, this.suspects.report(), this.placements.drain());
+				this.leaving, this.directory.freshness(), inFlight, this.suspects.report(),
+				this.servers.announcedDepartures(), this.placements.drain());
 		this.socket.send(message,
 				ExchangePolicy.receivers(this.peers.values(), this.random)
 					.stream()
@@ -182,9 +183,16 @@
 				message.leaving() ? Map.of() : message.inFlight());
 		this.servers.peersInFlight(this.loads.inFlight());
 		message.crashes().forEach((fingerprint, crashes) -> this.suspects.merge(fingerprint, crashes));
+		message.leavingServers().forEach((lifetime) -> leaving(lifetime, message.router()));
 		addPlacements(message.placements());
 	}
 
+	private void leaving(String lifetime, String router) {
+		if (this.servers.leaving(lifetime)) {
+			this.log.line("event=server-leaving server=" + lifetime + " told-by=" + router);
+		}
+	}
+
 	private void addPlacements(Map<String, List<List<PromptPart>>> cached) {
 		cached
 			.forEach((id, prompts) -> this.servers.find(id).ifPresent((server) -> prompts.forEach(server::addPrompt)));
--- a/server/src/main/java/org/acaciamux/internal/process/direct/PeerMessage.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/PeerMessage.java
@@ -2,11 +2,14 @@
 
 import java.io.IOException;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
@@ -27,12 +30,14 @@
  * @param inFlight the sender's requests by backend server id
  * @param crashes servers that crashed while they ran a request, by the fingerprint of the
  * request
+ * @param leavingServers lifetimes of backend servers that leave although the directory
+ * does not show it yet
  * @param placements shared parts of the prompts sent since the last message, by backend
  * server id
  */
 record PeerMessage(String router, String peer, long incarnation, long sequence, boolean leaving,
 		Directory.Freshness freshness, Map<String, Integer> inFlight, Map<Long, Crashes> crashes,
-		Map<String, List<List<PromptPart>>> placements) {
+		Set<String> leavingServers, Map<String, List<List<PromptPart>>> placements) {
 
 	/** Version of the format; a message of another version is ignored. */
 	private static final int FORMAT = 1;
@@ -52,6 +57,8 @@
 		ObjectNode loads = node.putObject("inFlight");
 		this.inFlight.forEach(loads::put);
 		node.set("crashes", CrashesJson.write(this.crashes));
+		ArrayNode servers = node.putArray("leavingServers");
+		this.leavingServers.forEach(servers::add);
 		node.set("placements", PlacementsJson.write(this.placements));
 		return JsonTrees.write(node);
 	}
@@ -69,11 +76,14 @@
 		}
 		Map<String, Integer> loads = new HashMap<>();
 		node.path("inFlight").properties().forEach((entry) -> loads.put(entry.getKey(), entry.getValue().asInt()));
+		Set<String> leavingServers = new HashSet<>();
+		node.path("leavingServers").forEach((server) -> leavingServers.add(server.asText()));
 		return Optional.of(new PeerMessage(node.path("router").asText(), node.path("peer").asText(),
 				node.path("incarnation").asLong(), node.path("sequence").asLong(), node.path("leaving").asBoolean(),
 				new Directory.Freshness(node.path("config").asLong(), node.path("revision").asLong(),
 						node.path("changed").asLong(), node.path("ageMs").asLong()),
-				loads, CrashesJson.read(node.path("crashes")), PlacementsJson.read(node.path("placements"))));
+				loads, CrashesJson.read(node.path("crashes")), leavingServers,
+				PlacementsJson.read(node.path("placements"))));
 	}
 
 }
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectContext.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectContext.java
@@ -89,7 +89,7 @@
 		this.metrics = metrics;
 		this.log = log;
 		this.admission = new Admission(clock);
-		this.channels = new ServerChannels(loop, servers, format, clock, this::connectionShare, metrics);
+		this.channels = new ServerChannels(loop, servers, format, clock, this::connectionShare, metrics, log);
 	}
 
 	/**
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
@@ -13,11 +13,13 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 
 import org.acaciamux.internal.coordination.direct.SendResult;
+import org.acaciamux.internal.coordination.direct.ServerEntry;
 import org.acaciamux.internal.transport.http.ResponseEnd;
 
 /**
@@ -55,6 +57,9 @@
 
 	private final String serverId;
 
+	/** The server's lifetime that the directory listed when the connection was opened. */
+	private final String lifetime;
+
 	private final WireFormat format;
 
 	private Channel channel;
@@ -86,10 +91,11 @@
 
 	private long idleSince;
 
-	ServerChannel(ServerChannels owner, String serverId, WireFormat format) {
+	ServerChannel(ServerChannels owner, ServerEntry server, WireFormat format) {
 		super(false);
 		this.owner = owner;
-		this.serverId = serverId;
+		this.serverId = server.id();
+		this.lifetime = server.lifetime();
 		this.format = format;
 	}
 
@@ -196,11 +202,15 @@
 
 	private void head(HttpResponse response) {
 		this.owner.received(this.serverId);
+		WireFormat.ServerReply reply = this.format.reply(response);
+		// A misdirected request was answered by another server.
+		if (reply.leaving() && !response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
+			this.owner.leaving(this.lifetime);
+		}
 		if (response.status().code() < 200) {
 			skipResponse();
 			return;
 		}
-		WireFormat.ServerReply reply = this.format.reply(response);
 		if (!reply.attemptId().map(this.attemptId::equals).orElse(false)) {
 			// A late response to an earlier request. The response to this one may follow.
 			this.reusable = false;
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannels.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannels.java
@@ -22,6 +22,7 @@
 
 import org.acaciamux.internal.coordination.direct.ServerState;
 import org.acaciamux.internal.coordination.direct.ServerTable;
+import org.acaciamux.internal.event.DecisionLog;
 
 /**
  * Pools of connections to backend servers, which are reused because new ones are costly
@@ -48,20 +49,23 @@
 
 	private final DirectMetrics metrics;
 
+	private final DecisionLog log;
+
 	private final Map<String, Pool> pools = new HashMap<>();
 
 	ServerChannels(EventLoop loop, ServerTable servers, WireFormat format, NanoClock clock,
-			IntUnaryOperator connectionShare, DirectMetrics metrics) {
+			IntUnaryOperator connectionShare, DirectMetrics metrics, DecisionLog log) {
 		this.loop = loop;
 		this.servers = servers;
 		this.format = format;
 		this.clock = clock;
 		this.connectionShare = connectionShare;
 		this.metrics = metrics;
+		this.log = log;
 	}
 
 	/**
-	 * Get a connection, opening one if none is idle.
+	 * Get a connection for a new request, opening one if none is idle.
 	 * @param server the server
 	 * @param maxConnections connections that the server accepts from all routers
 	 * @param action receives the connection, or the reason why there is none
@@ -73,7 +77,14 @@
 			action.accept(Either.right(idle));
 			return;
 		}
-		open(server, pool, maxConnections, action);
+		open(server, pool, maxConnections, (result) -> {
+			if (result.isLeft() || this.servers.isUsable(server)) {
+				action.accept(result);
+				return;
+			}
+			release(result.get());
+			action.accept(Either.left(new Unavailable(false, "the server left while a connection to it was opened")));
+		});
 	}
 
 	/**
@@ -94,7 +105,7 @@
 			return;
 		}
 		pool.open++;
-		ServerChannel handler = new ServerChannel(this, server.entry().id(), this.format);
+		ServerChannel handler = new ServerChannel(this, server.entry(), this.format);
 		this.metrics.connection();
 		connect(server, handler).addListener((ChannelFuture connected) -> {
 			if (!connected.isSuccess()) {
@@ -178,6 +189,16 @@
 		this.servers.find(serverId).ifPresent((server) -> server.received(now()));
 	}
 
+	/**
+	 * Record that a response announced that its server leaves.
+	 * @param lifetime the server's lifetime
+	 */
+	void leaving(String lifetime) {
+		if (this.servers.leaving(lifetime)) {
+			this.log.line("event=server-leaving server=" + lifetime + " told-by=response");
+		}
+	}
+
 	void foreignResponse(String serverId) {
 		this.metrics.foreignResponse();
 	}
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/WireFormat.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/WireFormat.java
@@ -64,9 +64,10 @@
 	 * @param encoded whether the body has a content coding and therefore is not the body
 	 * that the server signed
 	 * @param load the load that the server reports
+	 * @param leaving whether the server announces that it leaves
 	 */
 	record ServerReply(Optional<String> attemptId, boolean sealed, boolean notRun, boolean encoded,
-			Optional<ReportedLoad> load) {
+			Optional<ReportedLoad> load, boolean leaving) {
 	}
 
 }
--- a/server/src/test/java/org/acaciamux/internal/process/direct/PeerDatagramsTests.java
+++ b/server/src/test/java/org/acaciamux/internal/process/direct/PeerDatagramsTests.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.SplittableRandom;
 
 import org.testng.annotations.Test;
@@ -24,9 +26,9 @@
 	private static final int SEEDS = 200;
 
 	private static PeerMessage message(Map<String, Integer> inFlight, Map<Long, Crashes> crashes,
-			Map<String, List<List<PromptPart>>> placements) {
+			Set<String> leavingServers, Map<String, List<List<PromptPart>>> placements) {
 		return new PeerMessage("edge-1", "10.0.0.1:7340", 5, 7, false, new Directory.Freshness(1, 2, 3, 4), inFlight,
-				crashes, placements);
+				crashes, leavingServers, placements);
 	}
 
 	@Test
@@ -47,13 +49,18 @@
 				placements.computeIfAbsent("i-server-" + i % 5, (key) -> new ArrayList<>())
 					.add(List.of(new PromptPart("part-" + i, 400), new PromptPart("chat-" + i, 10_000)));
 			}
-			assertArrives(message(inFlight, crashes, placements), "seed " + seed);
+			Set<String> leavingServers = new HashSet<>();
+			for (int i = random.nextInt(40); i > 0; i--) {
+				leavingServers.add("i-server-" + i + "@1768238155699");
+			}
+			assertArrives(message(inFlight, crashes, leavingServers, placements), "seed " + seed);
 		}
 	}
 
 	private static void assertArrives(PeerMessage sent, String description) {
 		Map<String, Integer> inFlight = new HashMap<>();
 		Map<Long, Crashes> crashes = new HashMap<>();
+		Set<String> leavingServers = new HashSet<>();
 		Map<String, List<List<PromptPart>>> placements = new HashMap<>();
 		for (byte[] datagram : PeerDatagrams.of(sent)) {
 			assertTrue(datagram.length <= PeerDatagrams.MAX_BYTES, description + ": " + datagram.length + " bytes");
@@ -62,12 +69,14 @@
 			assertEquals(part.freshness(), sent.freshness(), description);
 			inFlight.putAll(part.inFlight());
 			crashes.putAll(part.crashes());
+			leavingServers.addAll(part.leavingServers());
 			part.placements()
 				.forEach((server, prompts) -> placements.computeIfAbsent(server, (key) -> new ArrayList<>())
 					.addAll(prompts));
 		}
 		assertEquals(inFlight, sent.inFlight(), description);
 		assertEquals(crashes, sent.crashes(), description);
+		assertEquals(leavingServers, sent.leavingServers(), description);
 		assertEquals(placements, sent.placements(), description);
 	}
 
@@ -81,8 +90,8 @@
 		for (int i = 0; i < 64; i++) {
 			prompt.add(new PromptPart("a-rather-long-part-" + i, 1_000));
 		}
-		List<byte[]> datagrams = PeerDatagrams
-			.of(message(Map.of("i-1", 3), Map.of(), Map.of("i-1", List.of(prompt, List.of(new PromptPart("p", 1))))));
+		List<byte[]> datagrams = PeerDatagrams.of(message(Map.of("i-1", 3), Map.of(), Set.of(),
+				Map.of("i-1", List.of(prompt, List.of(new PromptPart("p", 1))))));
 		Map<String, Integer> inFlight = new HashMap<>();
 		datagrams.forEach((datagram) -> inFlight.putAll(PeerMessage.decode(datagram).orElseThrow().inFlight()));
 		assertEquals(inFlight, Map.of("i-1", 3));
