Do not take back a drain because of an older state of the directory

Cause: the table of servers believed whatever the directory reported last. A list from an older copy, or the state of a router that is behind, shows a draining server as ready again, in the same lifetime.

Change: a lifetime that was listed as draining stays out of the usable servers, as one that announced it in a response. A restart (another start time) ends it. Entries without a start time are taken as they are, because their lifetimes cannot be told apart.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/ServerTable.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/ServerTable.java
@@ -109,6 +109,10 @@
 	}
 
 	private void store(ServerEntry entry) {
+		// Without a start time a restarted server cannot be told from the former one.
+		if (entry.draining() && entry.startedMs() != 0) {
+			this.departures.add(entry.lifetime());
+		}
 		ServerState known = this.servers.get(entry.id());
 		if (known != null && known.entry().service().equals(entry.service())) {
 			known.update(entry);
