Take no idle connection for a sign that a server lives

Cause: after a broken response the router looked whether an older connection to the server is still open, and if so took the server for alive. On a lossy link, behind a device that drops state, or when a host falls silent, only the connection in use shows the crash. The record of the crash was dropped as unconfirmed, and the request was sent on.

Change: only bytes that arrive 50 ms or more after the break, or an accepted connection, show that the server lives.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/CrashCheck.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/CrashCheck.java
@@ -9,8 +9,10 @@
 
 /**
  * Finds out whether a server crashed when a response broke off or did not come. Placement
- * avoids such a server, so requests alone may not reach it before it is back. Invariant:
- * at most one check of a server is in progress. Confined to the event loop.
+ * avoids such a server, so requests alone may not reach it before it is back. Invariants:
+ * at most one check of a server is in progress; only bytes that arrive afterwards or an
+ * accepted connection show that a server lives, because an idle connection to a crashed
+ * one may look open for good. Confined to the event loop.
  */
 final class CrashCheck {
 
@@ -20,6 +22,12 @@
 	 */
 	private static final long DELAY_MS = 100;
 
+	/**
+	 * Time from a broken response until bytes from its server count as sent after it, in
+	 * nanoseconds: longer than the jitter between two connections.
+	 */
+	private static final long IN_FLIGHT_NANOS = 50_000_000L;
+
 	private final Set<String> checking = new HashSet<>();
 
 	private final DirectContext context;
@@ -35,8 +43,7 @@
 	 */
 	void brokeOff(long fingerprint, ServerState server) {
 		long brokeAt = this.context.now();
-		// A process that ends closes all its connections.
-		start(fingerprint, server, () -> this.context.channels().openSince(server.entry().id(), brokeAt));
+		start(fingerprint, server, () -> server.lastReceivedAt() - brokeAt > IN_FLIGHT_NANOS);
 	}
 
 	/**
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannels.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannels.java
@@ -115,23 +115,10 @@
 				return;
 			}
 			server.acceptedConnection();
-			pool.connected.put(handler, now());
 			action.accept(Either.right(handler));
 		});
 	}
 
-	/**
-	 * Return whether a connection that was open at a given time still is. A process that
-	 * ends closes all its connections.
-	 * @param serverId the server's id
-	 * @param at the monotonic time in nanoseconds
-	 * @return whether such a connection exists
-	 */
-	boolean openSince(String serverId, long at) {
-		Pool pool = this.pools.get(serverId);
-		return pool != null && pool.connected.values().stream().anyMatch((openedAt) -> openedAt - at < 0);
-	}
-
 	private ChannelFuture connect(ServerState server, ServerChannel handler) {
 		return new Bootstrap().group(this.loop)
 			.channel(NioSocketChannel.class)
@@ -161,7 +148,6 @@
 		if (pool != null) {
 			pool.open--;
 			pool.idle.remove(channel);
-			pool.connected.remove(channel);
 		}
 	}
 
@@ -220,9 +206,6 @@
 
 		private final Deque<ServerChannel> idle = new ArrayDeque<>();
 
-		/** Open connections and when they were opened. */
-		private final Map<ServerChannel, Long> connected = new HashMap<>();
-
 		private int open;
 
 		ServerChannel poll(long now) {
