Refuse a request while three servers may have crashed with it

Cause: a crash counted only once it was confirmed, which takes 0.1 s if connections are refused, 0.7 s if they time out, and seconds if only the directory shows it. Callers that send a request at the same time or repeat it at once crashed further servers meanwhile.

Change: a broken response whose server is in doubt counts with the confirmed crashes until the check finds that the server lives, at most 5 s. Then it counts only if the directory shows a restart, as before.

Result: the three new cases of CrashSuspectsTests pass; the first does not compile on the former code, which had no such state. RequestThatCrashesServersTests and LeavingServerTests pass.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/CrashSuspects.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/CrashSuspects.java
@@ -4,10 +4,12 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 
 import org.agrona.concurrent.NanoClock;
 
@@ -16,10 +18,10 @@
 /**
  * Requests that were running when a backend server crashed. Guards against a request that
  * crashes every server that runs it while its caller resends it through any router.
- * Invariants: a request is refused only after it was in flight at
- * {@link #CRASHES_TO_REFUSE} different servers that crashed; at most {@link #MAX_ENTRIES}
- * suspects and {@link #MAX_BROKEN_RESPONSES} broken responses are kept. Confined to the
- * event loop.
+ * Invariants: a request is refused only while it was in flight at
+ * {@link #CRASHES_TO_REFUSE} different servers that crashed, or of which it is not known
+ * yet whether they did; at most {@link #MAX_ENTRIES} suspects and
+ * {@link #MAX_BROKEN_RESPONSES} broken responses are kept. Confined to the event loop.
  */
 public final class CrashSuspects {
 
@@ -91,7 +93,7 @@
 		long now = this.clock.nanoTime();
 		expireBrokenResponses(now);
 		this.observer.changed(Change.SUSPECTED, fingerprint, "server=" + server);
-		this.brokenResponses.add(new BrokenResponse(fingerprint, server, now));
+		this.brokenResponses.add(new BrokenResponse(fingerprint, server, now, true));
 		if (this.brokenResponses.size() > MAX_BROKEN_RESPONSES) {
 			evictBrokenResponse();
 		}
@@ -116,6 +118,15 @@
 		});
 	}
 
+	/**
+	 * Record that a server was found to live after a response of it broke off. Its broken
+	 * responses count again only if the directory shows that it was restarted.
+	 * @param server the {@link ServerState#observedLifetime()} of the server
+	 */
+	public void lives(String server) {
+		this.brokenResponses.replaceAll((broken) -> broken.server.equals(server) ? broken.withoutDoubt() : broken);
+	}
+
 	/**
 	 * Record that a server's lifetime ended without notice: it cannot be reached, its
 	 * directory entry shows a restart or is gone, or another server answers in its place.
@@ -226,18 +237,27 @@
 	/**
 	 * Return whether a request is to be refused.
 	 * @param fingerprint the request's fingerprint
-	 * @return whether it has crashed too many servers
+	 * @return whether it has crashed too many servers, or may have
 	 */
 	public boolean shouldRefuse(long fingerprint) {
-		return crashCount(fingerprint) >= CRASHES_TO_REFUSE;
+		return possibleCrashCount(fingerprint) >= CRASHES_TO_REFUSE;
+	}
+
+	private int possibleCrashCount(long fingerprint) {
+		Set<String> servers = new HashSet<>(crashes(fingerprint).keySet());
+		expireBrokenResponses(this.clock.nanoTime());
+		this.brokenResponses.stream()
+			.filter((broken) -> broken.inDoubt && broken.fingerprint == fingerprint)
+			.forEach((broken) -> servers.add(broken.server));
+		return servers.size();
 	}
 
 	/**
-	 * Return whether one more crash would make a request refused. Such a request is not
-	 * sent again after a broken response, because whether that was a crash is not known
-	 * yet.
+	 * Return whether one more crash would make a request refused, apart from those of
+	 * which it is not known yet whether they were crashes. Such a request is not sent
+	 * again after a broken response.
 	 * @param fingerprint the request's fingerprint
-	 * @return whether it may have crashed too many servers if its response broke off now
+	 * @return whether it would be refused after another crash
 	 */
 	public boolean oneCrashFromRefusal(long fingerprint) {
 		return crashCount(fingerprint) >= CRASHES_TO_REFUSE - 1;
@@ -246,14 +266,12 @@
 	/**
 	 * Return how long a request is still refused if it does not crash another server.
 	 * @param fingerprint the request's fingerprint
-	 * @return the time in milliseconds, 0 if it is not refused
+	 * @return the time in milliseconds, 0 if it is not refused or only until it is known
+	 * whether servers crashed
 	 */
 	public long refusedForMs(long fingerprint) {
-		if (!shouldRefuse(fingerprint)) {
-			return 0;
-		}
 		long now = this.clock.nanoTime();
-		return this.suspects.get(fingerprint).crashes.values()
+		return crashes(fingerprint).values()
 			.stream()
 			.map((at) -> (KEEP_NANOS - (now - at)) / NANOS_PER_MS + 1)
 			.sorted(Comparator.reverseOrder())
@@ -263,12 +281,16 @@
 	}
 
 	private int crashCount(long fingerprint) {
+		return crashes(fingerprint).size();
+	}
+
+	private Map<String, Long> crashes(long fingerprint) {
 		Suspect suspect = this.suspects.get(fingerprint);
 		if (suspect == null) {
-			return 0;
+			return Map.of();
 		}
 		suspect.expire(this.clock.nanoTime());
-		return suspect.crashes.size();
+		return suspect.crashes;
 	}
 
 	/**
@@ -324,7 +346,13 @@
 	public record Crashes(Map<String, Long> ageMs, OptionalLong clearedAgeMs) {
 	}
 
-	private record BrokenResponse(long fingerprint, String server, long at) {
+	// In doubt until it is known whether the server crashed.
+	private record BrokenResponse(long fingerprint, String server, long at, boolean inDoubt) {
+
+		BrokenResponse withoutDoubt() {
+			return new BrokenResponse(this.fingerprint, this.server, this.at, false);
+		}
+
 	}
 
 	private static final class Suspect {
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/CrashCheck.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/CrashCheck.java
@@ -68,12 +68,16 @@
 	private void check(ServerState server, String lifetime, BooleanSupplier lives) {
 		if (lives.getAsBoolean()) {
 			this.checking.remove(lifetime);
+			this.context.suspects().lives(lifetime);
 			return;
 		}
 		int limit = this.context.maxConnections(server.entry().service());
 		this.context.channels().open(server, limit, (result) -> {
 			this.checking.remove(lifetime);
-			result.forEach(this.context.channels()::release);
+			result.forEach((channel) -> {
+				this.context.channels().release(channel);
+				this.context.suspects().lives(lifetime);
+			});
 			if (result.isLeft() && result.getLeft().unreachable()) {
 				this.context.suspects().lifetimeEnded(lifetime);
 			}
--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/CrashSuspectsTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/CrashSuspectsTests.java
@@ -121,4 +121,46 @@
 		}
 	}
 
+	/**
+	 * Callers that send a request at the same time, or one that repeats it at once, would
+	 * otherwise crash further servers before the first crashes are known.
+	 */
+	@Test
+	public void requestIsRefusedWhileItIsNotKnownWhetherItsServersCrashed() {
+		CrashSuspects suspects = suspects();
+		for (String server : List.of("a", "b", "c")) {
+			assertFalse(suspects.shouldRefuse(CRASHING));
+			suspects.brokeOff(CRASHING, server);
+		}
+		assertTrue(suspects.shouldRefuse(CRASHING));
+		suspects.lives("b");
+		assertFalse(suspects.shouldRefuse(CRASHING));
+	}
+
+	@Test
+	public void brokenResponsesOfOneServerCountOnce() {
+		CrashSuspects suspects = suspects();
+		for (int i = 0; i < 5; i++) {
+			suspects.brokeOff(CRASHING, "a");
+		}
+		suspects.recordCrash(CRASHING, "b");
+		assertFalse(suspects.shouldRefuse(CRASHING));
+	}
+
+	/**
+	 * A server that restarts within milliseconds is found to live before the directory
+	 * shows the restart.
+	 */
+	@Test
+	public void restartThatBecomesKnownLaterCountsAlthoughTheServerLives() {
+		CrashSuspects suspects = suspects();
+		for (String server : List.of("a", "b", "c")) {
+			suspects.brokeOff(CRASHING, server);
+			suspects.lives(server);
+			this.clock.advance(1_000);
+			suspects.lifetimeEnded(server);
+		}
+		assertTrue(suspects.shouldRefuse(CRASHING));
+	}
+
 }
