Find the server reachable in the test of its broken responses

Cause: brokenResponseOfAReachableServerIsNoCrash takes a server for reachable because nothing was said of it.

Change: the test states that each server was found to live. What holds while they are in doubt is in CrashSuspectsTests, so together they check more than before.

--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/FleetStateTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/FleetStateTests.java
@@ -175,6 +175,7 @@
 		CrashSuspects suspects = new CrashSuspects(this.clock, CrashObserver.NONE);
 		for (String server : List.of("a", "b", "c")) {
 			suspects.brokeOff(7, server);
+			suspects.lives(server);
 		}
 		assertFalse(suspects.shouldRefuse(7));
 		for (String server : List.of("a", "b", "c")) {
