Report crash records to routers that return, and pass on those of others

Cause: a new crash is reported in four messages, one second. A router that is cut off for longer learned of it only because each message carried 32 old records in turn for as long as they are kept, 3 KB four times a second to each router, which fills a slow link for ten minutes after a loaded server crashed. Two routers that do not hear each other never learned.

Change: a router that was silent for more than a second gets all records again. A record that another router reported is passed on once. In turn only 8 records are reported.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/CrashSuspects.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/CrashSuspects.java
@@ -42,7 +42,16 @@
 	static final int MAX_REPORTED = 32;
 
 	/** Number of messages that report a new crash, because some are lost. */
-	static final int URGENT_REPORTS = 4;
+	public static final int URGENT_REPORTS = 4;
+
+	/** Number of messages that report each record when a router has returned. */
+	private static final int RETURN_REPORTS = 2;
+
+	/**
+	 * Largest number of entries in a message that are reported in turn only: once a crash
+	 * has been reported, its record uses little of a slow link.
+	 */
+	static final int MAX_REPORTED_IN_TURN = 8;
 
 	/**
 	 * Largest number of broken responses whose server may yet turn out to have crashed:
@@ -156,17 +165,25 @@
 	 */
 	int recordCrash(long fingerprint, String server) {
 		int crashes = recordCrash(fingerprint, server, this.clock.nanoTime());
-		reportSoon(fingerprint);
+		reportSoon(fingerprint, URGENT_REPORTS);
 		return crashes;
 	}
 
-	private void reportSoon(long fingerprint) {
+	private void reportSoon(long fingerprint, int reports) {
 		Suspect suspect = this.suspects.get(fingerprint);
 		if (suspect != null) {
-			suspect.urgentReports = URGENT_REPORTS;
+			suspect.urgentReports = Math.max(suspect.urgentReports, reports);
 		}
 	}
 
+	/**
+	 * Report all records in the next messages, because a router that did not receive the
+	 * last ones has returned.
+	 */
+	public void reportAllSoon() {
+		this.suspects.keySet().forEach((fingerprint) -> reportSoon(fingerprint, RETURN_REPORTS));
+	}
+
 	private int recordCrash(long fingerprint, String server, long at) {
 		Suspect suspect = this.suspects.computeIfAbsent(fingerprint, (key) -> new Suspect());
 		suspect.crashes.putIfAbsent(server, at);
@@ -204,6 +221,7 @@
 				return;
 			}
 			int count = recordCrash(fingerprint, server, at);
+			reportSoon(fingerprint, 1);
 			this.observer.changed(Change.LEARNED, fingerprint,
 					"server=" + server + " crashes=" + count + " ageMs=" + ageMs);
 		});
@@ -216,7 +234,7 @@
 	public void completed(long fingerprint) {
 		if (crashCount(fingerprint) > 0) {
 			clear(fingerprint, this.clock.nanoTime());
-			reportSoon(fingerprint);
+			reportSoon(fingerprint, URGENT_REPORTS);
 		}
 	}
 
@@ -295,19 +313,20 @@
 
 	/**
 	 * List crashes for the next message to the other routers: new ones in the next
-	 * {@link #URGENT_REPORTS} messages, the others in turn. All are reported within
-	 * {@link #MAX_ENTRIES} / {@link #MAX_REPORTED} messages, also to a router that has
-	 * just started.
+	 * {@link #URGENT_REPORTS} messages, those that another router reported in one, so
+	 * that they arrive also if two routers do not hear each other, and the others in
+	 * turn.
 	 * @return the crashes of at most {@link #MAX_REPORTED} requests, by fingerprint
 	 */
 	public Map<Long, Crashes> report() {
 		long now = this.clock.nanoTime();
 		this.suspects.values().forEach((suspect) -> suspect.expire(now));
 		this.suspects.values().removeIf(Suspect::isEmpty);
+		long urgent = this.suspects.values().stream().filter((suspect) -> suspect.urgentReports > 0).count();
 		List<Long> next = this.suspects.entrySet()
 			.stream()
 			.sorted(Map.Entry.comparingByValue(Suspect.MOST_URGENT_FIRST))
-			.limit(MAX_REPORTED)
+			.limit(Math.max(MAX_REPORTED_IN_TURN, Math.min(MAX_REPORTED, urgent)))
 			.map(Map.Entry::getKey)
 			.toList();
 		Map<Long, Crashes> result = new HashMap<>();
@@ -359,7 +378,8 @@
 
 		private static final Comparator<Suspect> MOST_URGENT_FIRST = Comparator
 			.<Suspect>comparingInt((suspect) -> (suspect.urgentReports > 0) ? 0 : 1)
-			.thenComparingInt((suspect) -> (suspect.urgentReports > 0) ? -suspect.crashes.size() : 0);
+			.thenComparingInt((suspect) -> (suspect.urgentReports > 0) ? -suspect.crashes.size() : 0)
+			.thenComparingInt((suspect) -> -suspect.urgentReports);
 
 		/** Monotonic times of the crashes in nanoseconds, by server. */
 		private final Map<String, Long> crashes = new HashMap<>();
--- a/server/src/main/java/org/acaciamux/internal/process/direct/PeerExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/PeerExchange.java
@@ -171,6 +171,9 @@
 
 	private void received(PeerMessage message) {
 		Endpoint.parse(message.peer()).ifPresent((peer) -> {
+			if (wasSilent(peer)) {
+				this.suspects.reportAllSoon();
+			}
 			addPeer(peer);
 			Peer sender = this.peers.get(peer.toString());
 			if (sender != null) {
@@ -187,6 +190,18 @@
 		addPlacements(message.placements());
 	}
 
+	// Whether all messages that reported a new crash may have been lost.
+	private boolean wasSilent(Endpoint peer) {
+		long reportNanos = TimeUnit.MILLISECONDS.toNanos(CrashSuspects.URGENT_REPORTS * ExchangePolicy.PACE_MS);
+		long silentNanos = (this.peers.size() <= ExchangePolicy.FANOUT) ? reportNanos : livenessNanos();
+		Peer known = this.peers.get(peer.toString());
+		return known == null || this.clock.nanoTime() - known.lastReceivedAt > silentNanos;
+	}
+
+	private long livenessNanos() {
+		return TimeUnit.MILLISECONDS.toNanos(ExchangePolicy.livenessTimeoutMs(this.peers.size()));
+	}
+
 	private void leaving(String lifetime, String router) {
 		if (this.servers.leaving(lifetime)) {
 			this.log.line("event=server-leaving server=" + lifetime + " told-by=" + router);
@@ -247,7 +262,7 @@
 	 */
 	boolean savesPlacements() {
 		long now = this.clock.nanoTime();
-		long liveNanos = TimeUnit.MILLISECONDS.toNanos(ExchangePolicy.livenessTimeoutMs(this.peers.size()));
+		long liveNanos = livenessNanos();
 		String own = this.self.toString();
 		return this.peers.entrySet()
 			.stream()
--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/CrashSuspectsTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/CrashSuspectsTests.java
@@ -6,6 +6,7 @@
 
 import org.testng.annotations.Test;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
@@ -163,4 +164,62 @@
 		assertTrue(suspects.shouldRefuse(CRASHING));
 	}
 
+	/**
+	 * A router that was cut off has missed the messages that reported the crashes when
+	 * they were new.
+	 */
+	@Test
+	public void allCrashesAreReportedAgainToARouterThatReturns() {
+		CrashSuspects sender = suspects();
+		for (long request = 0; request < 200; request++) {
+			sender.recordCrash(request, "a");
+		}
+		for (int i = 0; i < 200; i++) {
+			sender.report();
+		}
+		CrashSuspects returned = suspects();
+		sender.reportAllSoon();
+		int messages = 2 * CrashSuspects.MAX_ENTRIES / CrashSuspects.MAX_REPORTED;
+		for (int i = 0; i < messages; i++) {
+			sender.report().forEach(returned::merge);
+		}
+		for (long request = 0; request < 200; request++) {
+			assertEquals(returned.mostCrashes(1_000).get(request).ageMs().size(), 1, "request " + request);
+		}
+	}
+
+	/**
+	 * Two routers that do not hear each other learn from a third one.
+	 */
+	@Test
+	public void crashOfAnotherRouterIsPassedOnInTheNextMessage() {
+		CrashSuspects seeing = suspects();
+		CrashSuspects relaying = suspects();
+		for (long other = 1_000; other < 1_100; other++) {
+			relaying.recordCrash(other, "x");
+		}
+		for (int i = 0; i < 100; i++) {
+			relaying.report();
+		}
+		seeing.recordCrash(CRASHING, "a");
+		seeing.report().forEach(relaying::merge);
+		assertTrue(relaying.report().containsKey(CRASHING));
+	}
+
+	/**
+	 * On a slow link, messages full of old records would leave no room for requests.
+	 */
+	@Test
+	public void recordsThatWereReportedUseLittleOfTheMessages() {
+		CrashSuspects suspects = suspects();
+		for (long request = 0; request < CrashSuspects.MAX_ENTRIES; request++) {
+			suspects.recordCrash(request, "a");
+		}
+		int messages = CrashSuspects.URGENT_REPORTS * CrashSuspects.MAX_ENTRIES / CrashSuspects.MAX_REPORTED;
+		for (int i = 0; i < messages; i++) {
+			suspects.report();
+		}
+		assertEquals(suspects.report().size(), CrashSuspects.MAX_REPORTED_IN_TURN);
+	}
+
 }
