--- a/server/src/test/java/org/acaciamux/internal/transport/peer/PeerTransportTests.java
+++ b/server/src/test/java/org/acaciamux/internal/transport/peer/PeerTransportTests.java
@@ -18,12 +18,15 @@
 import org.acaciamux.FailureCode;
 import org.acaciamux.internal.coordination.membership.Member;
 import org.acaciamux.internal.coordination.membership.MemberState;
+import org.acaciamux.internal.coordination.quarantine.SuspectTable;
 import org.acaciamux.internal.protocol.FrameHandler;
 import org.acaciamux.internal.protocol.Handshake;
 import org.acaciamux.internal.protocol.PeerLink;
 import org.acaciamux.internal.protocol.ProtocolVersions;
 import org.acaciamux.internal.protocol.wire.Credit;
 import org.acaciamux.internal.protocol.wire.Frame;
+import org.acaciamux.internal.protocol.wire.LoadExchange;
+import org.acaciamux.internal.protocol.wire.SuspectEntry;
 import org.acaciamux.internal.state.WorkerPool;
 
 import static org.testng.Assert.assertEquals;
@@ -65,6 +68,23 @@
 		}
 	}
 
+	/**
+	 * A crash of a loaded server leaves a record for each request, and what does not fit
+	 * a buffer must not be cut short.
+	 */
+	@Test
+	public void frameWithAFullTableOfSuspectsArrivesWhole() throws Exception {
+		BlockingQueue<Frame> received = new ArrayBlockingQueue<>(1);
+		int port = listen("agent-1", 1, (link, frame) -> received.add(frame));
+		LoadExchange.Builder exchange = LoadExchange.newBuilder().setPool("p");
+		for (long i = 0; i < SuspectTable.LIMIT; i++) {
+			exchange.addSuspects(SuspectEntry.newBuilder().setFingerprint(i).setCrashesAlone(2).setTtlMs(600_000));
+		}
+		Frame sent = Frame.newBuilder().setLoadExchange(exchange).build();
+		client(1).link(member("agent-1", port)).toCompletableFuture().get().get().send(sent);
+		assertEquals(received.poll(WAIT_SECONDS, TimeUnit.SECONDS), sent);
+	}
+
 	@Test
 	public void oneLinkIsShared() throws Exception {
 		int port = listen("agent-1", 1, (link, frame) -> {
