Count what messages between routers leave out

Change: PeerDatagrams counts such entries; the counter acaciamux.direct.left-out-peer-entries shows them.

--- a/server/src/main/java/org/acaciamux/internal/process/direct/PeerDatagrams.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/PeerDatagrams.java
@@ -14,41 +14,42 @@
  * Divides a message into datagrams that fit one packet each. A longer datagram is sent in
  * fragments, of which a lossy link loses some, and a receiver cuts it short if it exceeds
  * its buffer. Invariants: no datagram is longer than {@link #MAX_BYTES}; each entry is in
- * one datagram, unless it alone is too long for one. Holds no state.
+ * one datagram or, if it alone is too long for one, counted as left out. Immutable and
+ * thread-safe.
+ *
+ * @param datagrams the datagrams, each with the sender's state and a part of the entries
+ * @param leftOut the number of entries that fit no datagram
  */
-final class PeerDatagrams {
+record PeerDatagrams(List<byte[]> datagrams, int leftOut) {
 
 	/**
 	 * Longest datagram in bytes: fits an Ethernet frame with the headers of IPv6 and UDP.
 	 */
 	static final int MAX_BYTES = 1_400;
 
-	private PeerDatagrams() {
-	}
-
 	/**
 	 * Encode a message.
 	 * @param message the message
-	 * @return the datagrams, each with the sender's state and a part of the entries
+	 * @return the datagrams
 	 */
-	static List<byte[]> of(PeerMessage message) {
+	static PeerDatagrams of(PeerMessage message) {
 		List<byte[]> datagrams = new ArrayList<>();
-		addParts(message, datagrams);
-		return datagrams;
+		return new PeerDatagrams(datagrams, addParts(message, datagrams));
 	}
 
-	private static void addParts(PeerMessage message, List<byte[]> datagrams) {
+	// Returns the number of entries that are left out.
+	private static int addParts(PeerMessage message, List<byte[]> datagrams) {
 		byte[] bytes = message.encode();
 		if (bytes.length <= MAX_BYTES) {
 			datagrams.add(bytes);
-			return;
+			return 0;
 		}
 		int entries = entries(message);
 		if (entries <= 1) {
-			return;
+			return entries;
 		}
-		addParts(part(message, 0, entries / 2), datagrams);
-		addParts(part(message, entries / 2, entries), datagrams);
+		return addParts(part(message, 0, entries / 2), datagrams)
+				+ addParts(part(message, entries / 2, entries), datagrams);
 	}
 
 	private static int entries(PeerMessage message) {
--- a/server/src/main/java/org/acaciamux/internal/process/direct/PeerSocket.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/PeerSocket.java
@@ -106,7 +106,9 @@
 	 * @param receivers the addresses of the receivers
 	 */
 	void send(PeerMessage message, Collection<InetSocketAddress> receivers) {
-		for (byte[] bytes : PeerDatagrams.of(message)) {
+		PeerDatagrams parts = PeerDatagrams.of(message);
+		this.metrics.leftOutPeerEntries(parts.leftOut());
+		for (byte[] bytes : parts.datagrams()) {
 			for (InetSocketAddress receiver : receivers) {
 				this.channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), receiver))
 					.addListener((ChannelFuture sent) -> logFailedSend(receiver, bytes.length, sent));
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectMetrics.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectMetrics.java
@@ -33,6 +33,8 @@
 
 	private final Counter unreadablePeerMessages;
 
+	private final Counter leftOutPeerEntries;
+
 	private final Histogram firstByteMs;
 
 	private final Histogram totalMs;
@@ -49,6 +51,7 @@
 		this.retries = registry.counter(PREFIX + "retries");
 		this.resumes = registry.counter(PREFIX + "resumes");
 		this.unreadablePeerMessages = registry.counter(PREFIX + "unreadable-peer-messages");
+		this.leftOutPeerEntries = registry.counter(PREFIX + "left-out-peer-entries");
 		this.firstByteMs = histogram(PREFIX + "first-byte-ms");
 		this.totalMs = histogram(PREFIX + "total-ms");
 	}
@@ -85,6 +88,14 @@
 		this.registry.counter(PREFIX + "crash." + change.label()).inc();
 	}
 
+	/**
+	 * Count what a message to the other routers leaves out because it is too long.
+	 * @param entries the number of entries
+	 */
+	public void leftOutPeerEntries(int entries) {
+		this.leftOutPeerEntries.inc(entries);
+	}
+
 	/**
 	 * Count a message of another router that cannot be read.
 	 */
--- a/server/src/test/java/org/acaciamux/internal/process/direct/PeerDatagramsTests.java
+++ b/server/src/test/java/org/acaciamux/internal/process/direct/PeerDatagramsTests.java
@@ -62,7 +62,8 @@
 		Map<Long, Crashes> crashes = new HashMap<>();
 		Set<String> leavingServers = new HashSet<>();
 		Map<String, List<List<PromptPart>>> placements = new HashMap<>();
-		for (byte[] datagram : PeerDatagrams.of(sent)) {
+		assertEquals(PeerDatagrams.of(sent).leftOut(), 0, description);
+		for (byte[] datagram : PeerDatagrams.of(sent).datagrams()) {
 			assertTrue(datagram.length <= PeerDatagrams.MAX_BYTES, description + ": " + datagram.length + " bytes");
 			PeerMessage part = PeerMessage.decode(datagram).orElseThrow();
 			assertEquals(part.sequence(), sent.sequence(), description);
@@ -85,16 +86,17 @@
 	 * arriving.
 	 */
 	@Test
-	public void entryThatIsTooLongForAPacketIsLeftOut() {
+	public void entryThatIsTooLongForAPacketIsLeftOutAndCounted() {
 		List<PromptPart> prompt = new ArrayList<>();
 		for (int i = 0; i < 64; i++) {
 			prompt.add(new PromptPart("a-rather-long-part-" + i, 1_000));
 		}
-		List<byte[]> datagrams = PeerDatagrams.of(message(Map.of("i-1", 3), Map.of(), Set.of(),
+		PeerDatagrams parts = PeerDatagrams.of(message(Map.of("i-1", 3), Map.of(), Set.of(),
 				Map.of("i-1", List.of(prompt, List.of(new PromptPart("p", 1))))));
 		Map<String, Integer> inFlight = new HashMap<>();
-		datagrams.forEach((datagram) -> inFlight.putAll(PeerMessage.decode(datagram).orElseThrow().inFlight()));
+		parts.datagrams().forEach((datagram) -> inFlight.putAll(PeerMessage.decode(datagram).orElseThrow().inFlight()));
 		assertEquals(inFlight, Map.of("i-1", 3));
+		assertEquals(parts.leftOut(), 1);
 	}
 
 }
