Keep used retries used when the number of live routers changes

Cause: each change of the number of live routers started full retry budgets. While routers restart one after the other, or messages between them are lost, the number changes several times within one window, and the fleet could send several times the retries that it may.

Change: a budget is resized and stays full to the same part.

A router that restarts itself still begins with a full budget.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/RetryBudgets.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/RetryBudgets.java
@@ -41,16 +41,20 @@
 	}
 
 	/**
-	 * Set the number of live routers. A change starts new budgets.
+	 * Set the number of live routers. Retries that were used stay used.
 	 * @param live the number, at least 1
 	 */
 	public void routers(int live) {
 		if (live != this.routers) {
 			this.routers = live;
-			this.budgets.clear();
+			this.budgets.replaceAll((service, budget) -> budget.resized(burst()));
 		}
 	}
 
+	private int burst() {
+		return Math.max(1, (int) (this.allowance / this.routers));
+	}
+
 	/**
 	 * Record a request of a caller.
 	 * @param service the service that serves it
@@ -69,8 +73,7 @@
 	}
 
 	private RetryBudget budget(String service) {
-		return this.budgets.computeIfAbsent(service,
-				(name) -> new RetryBudget(this.percent, Math.max(1, (int) (this.allowance / this.routers))));
+		return this.budgets.computeIfAbsent(service, (name) -> new RetryBudget(this.percent, burst()));
 	}
 
 }
--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/FleetStateTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/FleetStateTests.java
@@ -256,6 +256,23 @@
 		assertEquals(loads.inFlight(), Map.of("a", 1, "b", 2));
 	}
 
+	/**
+	 * While routers restart one after the other, the number of live ones changes several
+	 * times within the window of the budget.
+	 */
+	@Test
+	public void usedRetriesStayUsedWhenTheNumberOfRoutersChanges() {
+		RetryBudgets budgets = new RetryBudgets(0.0, 100);
+		int retries = 0;
+		for (int round = 0; round < 10; round++) {
+			budgets.routers(3 + round % 2);
+			while (budgets.tryRetry("s")) {
+				retries++;
+			}
+		}
+		assertTrue(retries <= 100 / 3, "retries " + retries);
+	}
+
 	@Test
 	public void entryThatVanishesWithoutAnOutageIsRemovedAtOnce() {
 		assertEquals(DirectoryPolicy.keepVanishedMs(60_000, false), 0);
