Check a server again if another response breaks off before the check

Cause: one check of a server answers for all responses that broke off until it runs. Bytes that arrived after the first break counted as a sign of life for the last one too, so a crash shortly after a reset was taken for a server that lives.

Change: the check asks for bytes later than the last broken response.

Result: crashShortlyAfterABrokenResponseCounts of RequestThatCrashesServersTests fails on the former code, the third crash is not counted, and passes.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/CrashCheck.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/CrashCheck.java
@@ -1,9 +1,8 @@
 package org.acaciamux.internal.transport.http.direct;
 
-import java.util.HashSet;
-import java.util.Set;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 
 import org.acaciamux.internal.coordination.direct.ServerState;
 
@@ -28,7 +27,11 @@
 	 */
 	private static final long IN_FLIGHT_NANOS = 50_000_000L;
 
-	private final Set<String> checking = new HashSet<>();
+	/**
+	 * After which time bytes show that a server lives that is being checked, in monotonic
+	 * nanoseconds: later than its last broken response.
+	 */
+	private final Map<String, Long> checking = new HashMap<>();
 
 	private final DirectContext context;
 
@@ -42,8 +45,7 @@
 	 * @param server the server
 	 */
 	void brokeOff(long fingerprint, ServerState server) {
-		long brokeAt = this.context.now();
-		start(fingerprint, server, () -> server.lastReceivedAt() - brokeAt > IN_FLIGHT_NANOS);
+		start(fingerprint, server, this.context.now() + IN_FLIGHT_NANOS);
 	}
 
 	/**
@@ -53,20 +55,19 @@
 	 * @param server the server
 	 */
 	void silent(long fingerprint, ServerState server) {
-		long silentAt = this.context.now();
-		start(fingerprint, server, () -> server.lastReceivedAt() - silentAt > 0);
+		start(fingerprint, server, this.context.now());
 	}
 
-	private void start(long fingerprint, ServerState server, BooleanSupplier lives) {
+	private void start(long fingerprint, ServerState server, long livesIfReceivedAfter) {
 		String lifetime = server.observedLifetime();
 		this.context.suspects().brokeOff(fingerprint, lifetime);
-		if (this.checking.add(lifetime)) {
-			this.context.loop().schedule(() -> check(server, lifetime, lives), DELAY_MS, TimeUnit.MILLISECONDS);
+		if (this.checking.put(lifetime, livesIfReceivedAfter) == null) {
+			this.context.loop().schedule(() -> check(server, lifetime), DELAY_MS, TimeUnit.MILLISECONDS);
 		}
 	}
 
-	private void check(ServerState server, String lifetime, BooleanSupplier lives) {
-		if (lives.getAsBoolean()) {
+	private void check(ServerState server, String lifetime) {
+		if (server.lastReceivedAt() - this.checking.get(lifetime) > 0) {
 			this.checking.remove(lifetime);
 			this.context.suspects().lives(lifetime);
 			return;
