Drain connections only after the listener is closed

What callers saw: a router with an agent that was draining closed their idle connection, accepted the next one at once, and stopped under it.

The new test blocks the loop of the listener and fails on the landed code. - A response that had just ended saw the drain before the listener was closed, and closed its connection.

Change: the drain of the connections begins 1 ms after the close future, as a scheduled task of the listener's loop; the loop selects before it runs scheduled tasks. Connections see the drain from then on.

Not changed: routers without agents close idle connections in the same step of their one event loop as the listener, after the load balancer has had time to stop sending; the window there is shorter than one step of the loop.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/HttpFrontend.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/HttpFrontend.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -30,6 +31,8 @@
 
 	private static final int ACCEPT_BACKLOG = 1024;
 
+	private static final int SOCKET_CLOSE_DELAY_MS = 1;
+
 	private final EventLoopGroup loops;
 
 	private final HttpLimits limits;
@@ -87,18 +90,29 @@
 
 	/**
 	 * Stop accepting connections and finish the responses in flight. Idle connections
-	 * close at once; a caller that is still sending a request gets an answer.
+	 * close once no new connection is accepted, so that their callers do not return to
+	 * this router; a caller that is still sending a request gets an answer.
 	 * @return completes when the last connection is closed
 	 */
 	public CompletionStage<Void> drain() {
-		this.draining = true;
-		if (this.listener != null) {
-			this.listener.close();
+		CompletableFuture<Void> drained = new CompletableFuture<>();
+		Channel open = this.listener;
+		if (open == null) {
+			drainConnections(drained);
+			return drained;
 		}
+		// The JDK closes the socket when the event loop selects next, which precedes
+		// scheduled tasks. Until then the system still accepts connections.
+		open.close()
+			.addListener((closed) -> open.eventLoop()
+				.schedule(() -> drainConnections(drained), SOCKET_CLOSE_DELAY_MS, TimeUnit.MILLISECONDS));
+		return drained;
+	}
+
+	private void drainConnections(CompletableFuture<Void> drained) {
+		this.draining = true;
 		this.connections.forEach((channel) -> channel.pipeline().fireUserEventTriggered(CallerConnection.Drain.NOW));
-		CompletableFuture<Void> drained = new CompletableFuture<>();
 		this.connections.newCloseFuture().addListener((future) -> drained.complete(null));
-		return drained;
 	}
 
 	/**
--- a/server/src/test/java/org/acaciamux/internal/transport/http/HttpCaller.java
+++ b/server/src/test/java/org/acaciamux/internal/transport/http/HttpCaller.java
@@ -5,6 +5,7 @@
 import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 
 /**
@@ -51,6 +52,22 @@
 		return new String(this.input.readAllBytes(), StandardCharsets.ISO_8859_1);
 	}
 
+	/**
+	 * Check whether the connection ends within a time, in milliseconds.
+	 */
+	boolean endsWithin(int timeoutMs) throws IOException {
+		this.socket.setSoTimeout(timeoutMs);
+		try {
+			return this.input.read() < 0;
+		}
+		catch (SocketTimeoutException ex) {
+			return false;
+		}
+		finally {
+			this.socket.setSoTimeout(READ_TIMEOUT_MS);
+		}
+	}
+
 	@Override
 	public void close() throws IOException {
 		this.socket.close();
--- a/server/src/test/java/org/acaciamux/internal/transport/http/HttpFrontendTests.java
+++ b/server/src/test/java/org/acaciamux/internal/transport/http/HttpFrontendTests.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
@@ -12,6 +13,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.EventExecutor;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -226,7 +228,7 @@
 		}
 	}
 
-	@Test
+	@Test(invocationCount = 50)
 	public void aDrainClosesIdleConnectionsAndFinishesResponses() throws Exception {
 		try (HttpCaller idle = new HttpCaller(this.address); HttpCaller busy = new HttpCaller(this.address)) {
 			busy.send(GET);
@@ -245,6 +247,58 @@
 		this.frontend.drain().toCompletableFuture().get(20, TimeUnit.SECONDS);
 	}
 
+	/**
+	 * A caller whose idle connection was closed may connect again at once; the draining
+	 * router must not accept it.
+	 */
+	@Test
+	public void idleConnectionsStayOpenUntilTheListenerIsClosed() throws Exception {
+		int listening = 0;
+		for (EventExecutor blocked : this.loops) {
+			// Frontends take the event loops in turn, so one of two listeners is blocked.
+			listening += listensWhileDraining(blocked) ? 1 : 0;
+			listening += listensWhileDraining(blocked) ? 1 : 0;
+		}
+		assertEquals(listening, 2);
+	}
+
+	private boolean listensWhileDraining(EventExecutor blocked) throws Exception {
+		HttpFrontend draining = new HttpFrontend(this.loops, LIMITS, this::accept);
+		InetSocketAddress target = draining.bind(new InetSocketAddress("127.0.0.1", 0)).get();
+		CountDownLatch release = new CountDownLatch(1);
+		try (HttpCaller first = idleCaller(target); HttpCaller second = idleCaller(target)) {
+			blocked.submit(() -> release.await(20, TimeUnit.SECONDS));
+			draining.drain();
+			boolean closed = first.endsWithin(200) || second.endsWithin(200);
+			boolean listening = accepts(target);
+			assertFalse(closed && listening, "closed while new connections are accepted");
+			release.countDown();
+			assertEquals(first.readToEnd() + second.readToEnd(), "");
+			assertFalse(accepts(target));
+			return listening;
+		}
+		finally {
+			release.countDown();
+			draining.close();
+		}
+	}
+
+	private static HttpCaller idleCaller(InetSocketAddress target) throws IOException {
+		HttpCaller caller = new HttpCaller(target);
+		caller.send("GET /nothing HTTP/1.1\r\n\r\n").readUntil("requestId\":\"\"}");
+		return caller;
+	}
+
+	private static boolean accepts(InetSocketAddress target) {
+		try {
+			new HttpCaller(target).close();
+			return true;
+		}
+		catch (IOException ex) {
+			return false;
+		}
+	}
+
 	@Test
 	public void theTotalSizeOfTheBodiesOfAllConnectionsIsLimited() throws Exception {
 		HttpLimits limits = new HttpLimits(1_024, 2_048, 100, 1_000, 150, 20_000, 60_000);
