Read once from a server before other connections are served

Cause: the one event loop of a router without agents read up to 16 buffers of 64 KB of a connection in a row. In chunks of one byte that is 170,000 parts to decode before any other connection gets a turn.

Change: one read of a connection to a server for each turn of the loop. Responses that fit one buffer are read as before; larger ones need one select for each 64 KB.

Not changed: connections from callers, on which the sizes of requests are limited; they still read up to 16 buffers in a row.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannels.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannels.java
@@ -10,6 +10,7 @@
 import java.util.function.IntUnaryOperator;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -37,6 +38,9 @@
 	 */
 	private static final int CONNECT_TIMEOUT_MS = 600;
 
+	/** Reads from one connection before the event loop serves the others. */
+	private static final int READS_PER_TURN = 1;
+
 	private final EventLoop loop;
 
 	private final ServerTable servers;
@@ -124,6 +128,8 @@
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
 			.option(ChannelOption.TCP_NODELAY, true)
+			.option(ChannelOption.RECVBUF_ALLOCATOR,
+					new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(READS_PER_TURN))
 			.handler(new ChannelInitializer<SocketChannel>() {
 				@Override
 				protected void initChannel(SocketChannel channel) {
