Report the output of all processes when a pool is not reached

Nothing told what the router answered, or whether an agent had ended, and the files of the fleets were gone.

Change: the message has the servers reached, the last answer, and for each process its state and the last 25 lines of its output. No wait and no condition is changed.

Measured: HarnessTests passes with a new case for the description.

--- a/examples/src/main/java/org/acaciamux/examples/harness/Fleet.java
+++ b/examples/src/main/java/org/acaciamux/examples/harness/Fleet.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.Stream;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -233,14 +234,17 @@
 	 */
 	public void awaitPool(Daemon router, String pool, int servers) {
 		Set<String> seen = new HashSet<>();
-		Polling.await(router.id() + " reaches " + servers + " servers of " + pool, READY_SECONDS, () -> {
-			Answer answer = this.caller.send("GET", router.httpPort(), "/pools/" + pool + "/control/state", "",
-					Map.of("Acaciamux-Chat", "probe-" + System.nanoTime()));
-			if (answer.status() == 200) {
-				seen.add(answer.header("Acaciamux-Server"));
-			}
-			return seen.size() >= servers;
-		});
+		AtomicReference<Object> last = new AtomicReference<>("no answer");
+		Polling.await(() -> router.id() + " reaches " + servers + " servers of " + pool + "; reached " + seen
+				+ ", last answer " + last + "\n" + this.harness.describe(), READY_SECONDS, () -> {
+					Answer answer = this.caller.send("GET", router.httpPort(), "/pools/" + pool + "/control/state", "",
+							Map.of("Acaciamux-Chat", "probe-" + System.nanoTime()));
+					last.set(answer);
+					if (answer.status() == 200) {
+						seen.add(answer.header("Acaciamux-Server"));
+					}
+					return seen.size() >= servers;
+				});
 	}
 
 	/**
--- a/examples/src/main/java/org/acaciamux/examples/harness/ManagedProcess.java
+++ b/examples/src/main/java/org/acaciamux/examples/harness/ManagedProcess.java
@@ -156,6 +156,18 @@
 		}
 	}
 
+	/**
+	 * Describe the process for the message of a failed test.
+	 * @param lines the number of output lines to include, at most
+	 * @return its name, whether it runs or how it ended, and its last output
+	 */
+	String describe(int lines) {
+		List<String> output = output();
+		String state = isAlive() ? "running" : "ended with code " + this.process.exitValue();
+		return this.name + " (" + state + "):\n  "
+				+ String.join("\n  ", output.subList(Math.max(0, output.size() - lines), output.size()));
+	}
+
 	private void signal(String signal) {
 		try {
 			new ProcessBuilder("kill", signal, Long.toString(pid())).start().waitFor();
--- a/examples/src/main/java/org/acaciamux/examples/harness/ProcessHarness.java
+++ b/examples/src/main/java/org/acaciamux/examples/harness/ProcessHarness.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Collectors;
 
 /**
  * Starts Java processes with the class path of this process and ends them, at the latest
@@ -14,6 +15,8 @@
 
 	private static final long TERMINATION_GRACE_SECONDS = 3;
 
+	private static final int DESCRIBED_LINES = 25;
+
 	private final List<ManagedProcess> processes = new ArrayList<>();
 
 	private final Thread shutdownHook = new Thread(this::killAll, "process-harness");
@@ -76,6 +79,18 @@
 		}
 	}
 
+	/**
+	 * Describe all processes for the message of a failed test.
+	 * @return for each process its state and the end of its output
+	 */
+	public String describe() {
+		synchronized (this.processes) {
+			return this.processes.stream()
+				.map((process) -> process.describe(DESCRIBED_LINES))
+				.collect(Collectors.joining("\n"));
+		}
+	}
+
 	/**
 	 * End all processes that are still alive: send SIGTERM to all, wait up to 3 s for
 	 * each, then send SIGKILL to those still alive.
--- a/examples/src/test/java/org/acaciamux/process/HarnessTests.java
+++ b/examples/src/test/java/org/acaciamux/process/HarnessTests.java
@@ -48,6 +48,18 @@
 		createHarness();
 	}
 
+	/**
+	 * Processes that fail beside load cannot be examined afterwards.
+	 */
+	@Test
+	void descriptionOfTheProcessesTellsHowEachEndedAndWhatItPrinted() {
+		startStandIn("VmListStandIn").kill();
+		startStandIn("PlatformStandIn");
+		String description = this.harness.describe();
+		assertTrue(description.contains("VmListStandIn (ended with code 137):\n  ready {"), description);
+		assertTrue(description.contains("PlatformStandIn (running):\n  ready {"), description);
+	}
+
 	@Test
 	void writeWithLostAnswerTakesEffect() {
 		int port = startStandIn("PlatformStandIn").port();
