--- a/server/src/main/java/org/acaciamux/internal/transport/http/HttpFrontend.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/HttpFrontend.java
@@ -31,6 +31,7 @@
 
 	private static final int ACCEPT_BACKLOG = 1024;
 
+	/** Time until the socket of a closed listener is closed, in milliseconds. */
 	private static final int SOCKET_CLOSE_DELAY_MS = 1;
 
 	private final EventLoopGroup loops;
