Leave a silent server only for another one that takes over

Callers saw the connection close in the middle of a stream, or 502, although the server would have gone on a moment later.

Cause: a router gave up a send after 1 to 1.2 s without bytes (a plain one after one and a half goals) and only then looked for another server. If the route's attempts or the retry budget were used up, crash records forbade a resend, or no server was connected or had room, nothing was left but to end the response. A server that was silent took more of its streams with it than the budget has retries. A stream that had moved once was given up again by the silence of its next server, and the first byte of the first send counted as the begin of the second.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/AttemptPolicy.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/AttemptPolicy.java
@@ -50,6 +50,15 @@
 		return giveUp(started);
 	}
 
+	/**
+	 * Return whether the request may run at another server if the send in progress is
+	 * given up.
+	 * @return whether it may
+	 */
+	public boolean allowsAnotherRun() {
+		return this.route.repeatable() && this.ran + 1 < this.route.maxAttempts();
+	}
+
 	/**
 	 * Decide how the request ends when it is not sent again.
 	 * @param started whether a part of the response has been passed on to the caller
--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/RetryBudgets.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/RetryBudgets.java
@@ -72,6 +72,15 @@
 		return budget(service).tryRetry();
 	}
 
+	/**
+	 * Return whether a retry is left in the budget, without using it.
+	 * @param service the service that serves it
+	 * @return whether {@link #tryRetry} would allow it
+	 */
+	public boolean allowsRetry(String service) {
+		return budget(service).allowsRetry();
+	}
+
 	private RetryBudget budget(String service) {
 		return this.budgets.computeIfAbsent(service, (name) -> new RetryBudget(this.percent, burst()));
 	}
--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/SilencePolicy.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/SilencePolicy.java
@@ -1,8 +1,9 @@
 package org.acaciamux.internal.coordination.direct;
 
 /**
- * Decides when a send without incoming bytes is abandoned although its connection is
- * open, because the server is unreachable, hangs or has lost the response. Holds no
+ * Decides when a server counts as silent although the connection is open, because it is
+ * unreachable, hangs or has lost the response. A silent server is left only for another
+ * one that takes the request over, because it may also be sound and go on. Holds no
  * state.
  */
 public final class SilencePolicy {
@@ -19,22 +20,29 @@
 	 */
 	private static final long UNRESPONSIVE_MS = 1_000;
 
-	/** Multiple of the pause goal after which a stream counts as stuck. */
+	/**
+	 * Time without bytes after which a stream that has begun counts as stuck, in
+	 * milliseconds: longer than the pauses of sound servers, and short enough for another
+	 * server to go on before callers leave.
+	 */
+	private static final long STREAM_STUCK_MS = 2_000;
+
+	/** Multiple of the pause goal after which such a stream counts as stuck. */
 	private static final int PAUSE_GOAL_MULTIPLE = 4;
 
 	private SilencePolicy() {
 	}
 
 	/**
-	 * Decide whether a silent send is abandoned.
+	 * Decide whether a send is silent for so long that another server should take over.
 	 * @param route the request's route
 	 * @param silentMs milliseconds since its last bytes
 	 * @param responseStarted whether the response has begun
 	 * @param firstSend whether no earlier send arrived at a server
 	 * @param unresponsive whether the server is silent on all its connections
-	 * @return whether to abandon the send
+	 * @return whether another server should take over
 	 */
-	public static boolean shouldGiveUp(ServiceRoute route, long silentMs, boolean responseStarted, boolean firstSend,
+	public static boolean needsTakeover(ServiceRoute route, long silentMs, boolean responseStarted, boolean firstSend,
 			boolean unresponsive) {
 		if (!route.streaming()) {
 			return !responseStarted && firstSend && silentMs > route.goalMs() * GOAL_MULTIPLE;
@@ -42,7 +50,7 @@
 		if (!responseStarted) {
 			return unresponsive && silentMs > UNRESPONSIVE_MS;
 		}
-		return silentMs > Math.max(UNRESPONSIVE_MS, PAUSE_GOAL_MULTIPLE * route.pauseGoalMs());
+		return silentMs > Math.max(STREAM_STUCK_MS, PAUSE_GOAL_MULTIPLE * route.pauseGoalMs());
 	}
 
 	/**
