Do not take a caller that does not read for a silent server

A router stops reading from a server while the caller's connection accepts no more data. Nothing arrives then, and after 2 s the stream was moved to another server: work that was done runs again, and a retry is used up.

Cause: the time without bytes went on while the router did not read. Change: it stands still then, and starts anew when reading goes on.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerSend.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerSend.java
@@ -41,6 +41,8 @@
 
 	private boolean dataReceived;
 
+	private boolean readingPaused;
+
 	private boolean silenceReported;
 
 	private boolean ended;
@@ -150,18 +152,23 @@
 	}
 
 	void setReading(boolean reading) {
-		if (this.channel != null) {
-			this.channel.setReading(reading);
+		if (this.channel == null) {
+			return;
+		}
+		if (reading && this.readingPaused) {
+			this.lastDataAt = this.context.now();
 		}
+		this.readingPaused = !reading;
+		this.channel.setReading(reading);
 	}
 
 	/**
 	 * Return how long the server has sent nothing.
 	 * @param now the monotonic time in nanoseconds
-	 * @return the time in milliseconds
+	 * @return the time in milliseconds, 0 while the router itself does not read
 	 */
 	long silentMs(long now) {
-		return (now - this.lastDataAt) / NANOS_PER_MS;
+		return this.readingPaused ? 0 : (now - this.lastDataAt) / NANOS_PER_MS;
 	}
 
 	/**
