Do not take a busy event loop for silent servers

An event loop that handles a long message, such as a large configuration, checks the silence of servers right afterwards, before it has read what arrived meanwhile. Streams that never paused were moved to other servers.

Cause: the check compares the time of the last bytes that were read with the current time.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectContext.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectContext.java
@@ -24,6 +24,14 @@
  */
 public final class DirectContext {
 
+	/**
+	 * Time between two checks above which the event loop counts as having been busy, in
+	 * milliseconds.
+	 */
+	private static final long LATE_TICK_MS = 200;
+
+	private static final long NANOS_PER_MS = 1_000_000;
+
 	private final Set<DirectExchange> exchanges = new HashSet<>();
 
 	private final EventLoop loop;
@@ -64,6 +72,8 @@
 
 	private int routers = 1;
 
+	private long lastTickAt;
+
 	/**
 	 * Create the shared components.
 	 * @param loop the event loop of the router
@@ -89,6 +99,7 @@
 		this.metrics = metrics;
 		this.log = log;
 		this.admission = new Admission(clock);
+		this.lastTickAt = clock.nanoTime();
 		this.channels = new ServerChannels(loop, servers, format, clock, this::connectionShare, metrics, log);
 	}
 
@@ -181,8 +192,11 @@
 	 * Check time limits. Called every 20 to 100 ms.
 	 */
 	public void tick() {
+		long now = now();
+		boolean late = (now - this.lastTickAt) / NANOS_PER_MS > LATE_TICK_MS;
+		this.lastTickAt = now;
 		for (DirectExchange exchange : this.exchanges.toArray(DirectExchange[]::new)) {
-			exchange.tick();
+			exchange.tick(late);
 		}
 		this.channels.tick();
 	}
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
@@ -347,8 +347,10 @@
 
 	/**
 	 * Check the time limit, and whether the server is silent.
+	 * @param late whether the event loop was busy before, so that bytes may have arrived
+	 * that were not read yet
 	 */
-	void tick() {
+	void tick(boolean late) {
 		long now = this.context.now();
 		if (this.ended || now < this.deadlineAt && this.admitted == null) {
 			return;
@@ -362,7 +364,7 @@
 			conclude(this.policy.giveUp(relayStarted()), "the time limit has passed");
 			return;
 		}
-		if (this.current != null && this.current.awaitsResponse()) {
+		if (!late && this.current != null && this.current.awaitsResponse()) {
 			this.takeover.check(this.current, this.tried);
 		}
 	}
