Do not take a caller's pause for silence of its server

Callers saw: a response cut in the middle, with NO_PROGRESS in the agent's log, shortly after a caller that had stopped reading for longer than progressTimeoutMs read on. Cause: while the caller does not read, the agent stops reading from the backend server and suspends the limit. When it read on, the time without progress still counted from before the pause, so the next tick (50 ms) cancelled the run unless the server had sent bytes by then. Change: the time without progress starts over when reading is resumed. Failed on the unchanged code: SilentServerTests#aPauseOfTheCallerIsNotTakenForSilenceOfTheServer, outcome UNKNOWN instead of ANSWERED.

--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentRequest.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentRequest.java
@@ -155,11 +155,15 @@
 
 	/**
 	 * Pause or resume reading from the backend server, according to the unsent bytes. A
-	 * keyed call is always read to its end, because its answer must be stored.
+	 * keyed call is always read to its end, because its answer must be stored. The server
+	 * cannot make progress while reading is paused, so its time without progress starts
+	 * over.
+	 * @param nowMs the time
 	 */
-	void applyBackpressure() {
+	void applyBackpressure(long nowMs) {
 		if (this.paused && this.stream.belowLowWater()) {
 			this.paused = false;
+			this.lastProgressMs = nowMs;
 			if (this.call != null) {
 				this.call.resume();
 			}
--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentService.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentService.java
@@ -156,7 +156,7 @@
 	private void credit(Credit credit) {
 		this.core.update((effects) -> this.core.table().find(credit.getId()).ifPresent((request) -> {
 			request.stream().credit(Integer.toUnsignedLong(credit.getBytes()));
-			request.applyBackpressure();
+			request.applyBackpressure(this.core.nowMs());
 			this.core.retainIfFinished(request);
 		}));
 	}
@@ -202,7 +202,7 @@
 			return;
 		}
 		detachIfClosed(request, link);
-		request.applyBackpressure();
+		request.applyBackpressure(this.core.nowMs());
 		this.core.retainIfFinished(request);
 	}
 
@@ -239,7 +239,7 @@
 	private void linkWritable(PeerLink link) {
 		this.core.update((effects) -> this.core.table().forLink(link).forEach((request) -> {
 			request.stream().pump();
-			request.applyBackpressure();
+			request.applyBackpressure(this.core.nowMs());
 			this.core.retainIfFinished(request);
 		}));
 	}
--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentSweep.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentSweep.java
@@ -72,7 +72,7 @@
 
 	private void check(AgentRequest request, AgentCore.PoolSnapshot pool, List<Runnable> effects) {
 		request.stream().pump();
-		request.applyBackpressure();
+		request.applyBackpressure(this.core.nowMs());
 		this.core.retainIfFinished(request);
 		if (request.isFinal()) {
 			abortUnread(request);
--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/RequestRunner.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/RequestRunner.java
@@ -215,7 +215,7 @@
 				this.request.recordProgress(this.core.nowMs());
 				if (!this.request.isFinal()) {
 					this.request.stream().data(data);
-					this.request.applyBackpressure();
+					this.request.applyBackpressure(this.core.nowMs());
 				}
 			});
 		}
--- /dev/null
+++ b/server/src/test/java/org/acaciamux/internal/coordination/admission/SilentServerTests.java
@@ -0,0 +1,107 @@
+package org.acaciamux.internal.coordination.admission;
+
+import java.util.List;
+
+import org.testng.annotations.Test;
+
+import org.acaciamux.internal.coordination.admission.Backend.Health;
+import org.acaciamux.internal.protocol.wire.RequestId;
+import org.acaciamux.internal.protocol.wire.WireOutcome;
+import org.acaciamux.internal.state.record.PoolSpec;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * Guards against requests and servers that an agent gives up although the server is sound
+ * and only pauses.
+ */
+public class SilentServerTests {
+
+	/** Longest pause of a sound server, in milliseconds. */
+	private static final long PAUSE_MS = 1_500;
+
+	private static final long TICK_MS = AgentService.TICK_MS;
+
+	private static final Health SILENT = new Health(Health.State.SILENT, "");
+
+	/**
+	 * Guards against a response that ends because its server pauses, at each step.
+	 */
+	@Test
+	public void aPauseOfTheServerEndsNoRequest() {
+		AgentFixture fixture = new AgentFixture();
+		fixture.pool = pool(fixture, 3, fixture.pool.progressTimeoutMs());
+		RequestId sent = fixture.submit();
+		RequestId keyed = fixture.submitKeyed("key");
+		RequestId half = fixture.submit();
+		RequestId queued = fixture.submit();
+		List<FakeBackend.Run> runs = List.copyOf(fixture.backend.runs);
+		assertEquals(runs.size(), 3);
+		runs.get(2).head();
+		runs.get(2).data("half ");
+		fixture.backend.answersProbes = false;
+		pass(fixture, PAUSE_MS);
+		fixture.backend.answersProbes = true;
+		fixture.backend.probes.forEach((probe) -> probe.complete(SILENT));
+		runs.get(0).answer("sent");
+		runs.get(1).answer("keyed");
+		runs.get(2).data("whole");
+		runs.get(2).end();
+		fixture.backend.last().answer("queued");
+		assertAnswered(fixture, sent, "sent");
+		assertAnswered(fixture, keyed, "keyed");
+		assertAnswered(fixture, half, "half whole");
+		assertAnswered(fixture, queued, "queued");
+		assertTrue(fixture.agent.suspects().isEmpty());
+		assertFalse(fixture.agent.backendDown());
+	}
+
+	/**
+	 * Guards against a response that is cut because its caller paused: the time in which
+	 * the agent itself did not read is no silence of the server.
+	 */
+	@Test
+	public void aPauseOfTheCallerIsNotTakenForSilenceOfTheServer() {
+		AgentFixture fixture = new AgentFixture();
+		RequestId id = fixture.submit((submit) -> submit.setInitialCredit(0));
+		FakeBackend.Run run = fixture.backend.last();
+		String large = "x".repeat(ResponseSender.HIGH_WATER + 1);
+		run.head();
+		run.data(large);
+		assertTrue(run.paused);
+		pass(fixture, fixture.pool.progressTimeoutMs() + 1);
+		fixture.credit(id, 2 * large.length());
+		assertFalse(run.paused);
+		pass(fixture, PAUSE_MS);
+		run.data("end");
+		run.end();
+		assertAnswered(fixture, id, large + "end");
+	}
+
+	private static RequestId queuedBehind(AgentFixture fixture) {
+		fixture.pool = pool(fixture, 2, fixture.pool.progressTimeoutMs());
+		return fixture.submit();
+	}
+
+	private static void pass(AgentFixture fixture, long ms) {
+		for (long passed = 0; passed < ms; passed += TICK_MS) {
+			fixture.advance(TICK_MS);
+		}
+	}
+
+	private static void assertAnswered(AgentFixture fixture, RequestId id, String body) {
+		assertEquals(fixture.link.end(id).map((end) -> end.getOutcome()).orElse(null), WireOutcome.OUTCOME_ANSWERED);
+		assertEquals(fixture.link.body(id), body);
+	}
+
+	private static PoolSpec pool(AgentFixture fixture, int maxConcurrency, long progressTimeoutMs) {
+		PoolSpec pool = fixture.pool;
+		return new PoolSpec(pool.name(), pool.model(), pool.repeatable(), 10.0, pool.reusePreference(),
+				pool.candidates(), maxConcurrency, pool.queueLimit(), pool.queueWaitMs(), progressTimeoutMs,
+				pool.claimPartitions(), pool.keyRetentionMs(), pool.checksFence(), pool.modelVersion(),
+				pool.adapters());
+	}
+
+}
