Keep a request's progress limit when its pool changes

Callers saw: a half answered response cut when a record with a shorter progressTimeoutMs came into force while the server paused within the limit under which the request was accepted. Cause: the agent read the limit from the record in force at each tick; the router keeps the one of the request's start. Change: the agent's request keeps the limit of its arrival too, so both sides agree. Failed on the unchanged code: SilentServerTests#aShorterLimitDoesNotEndAResponseThatBeganBefore, outcome UNKNOWN instead of ANSWERED. RequestRouterTests#aChangeOrRemovalOfThePoolEndsNoRequestInFlight (connecting, sent, half answered; limit shortened or pool removed) passed on the unchanged code and guards the router's side.

--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentRequest.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentRequest.java
@@ -22,6 +22,8 @@
 
 	private final long arrivedMs;
 
+	private final long progressTimeoutMs;
+
 	private final ResponseSender stream;
 
 	private final RequestTrace trace;
@@ -42,11 +44,13 @@
 
 	private long detachedMs = -1;
 
-	AgentRequest(Submit submit, OrganisationSpec organisation, PrioritySpec priority, PeerLink link, long arrivedMs) {
+	AgentRequest(Submit submit, OrganisationSpec organisation, PrioritySpec priority, PeerLink link, long arrivedMs,
+			long progressTimeoutMs) {
 		this.submit = submit;
 		this.organisation = organisation;
 		this.priority = priority;
 		this.arrivedMs = arrivedMs;
+		this.progressTimeoutMs = progressTimeoutMs;
 		this.trace = new RequestTrace(submit, arrivedMs);
 		this.stream = new ResponseSender(submit.getId(), link, Integer.toUnsignedLong(submit.getInitialCredit()));
 	}
@@ -180,6 +184,15 @@
 		return this.paused;
 	}
 
+	/**
+	 * Return the longest time without progress. A change of the pool does not affect
+	 * requests that have arrived.
+	 * @return the limit of the pool when the request arrived, in milliseconds
+	 */
+	long progressTimeoutMs() {
+		return this.progressTimeoutMs;
+	}
+
 	long lastProgressMs() {
 		return this.lastProgressMs;
 	}
--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentService.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentService.java
@@ -97,9 +97,10 @@
 
 	private void submit(PeerLink link, Submit submit) {
 		watch(link);
-		AgentRequest request = new AgentRequest(submit, this.core.records().organisation(submit.getOrganisation()),
-				this.core.records().priority(submit.getPriority()), link, this.core.nowMs());
 		AgentCore.PoolSnapshot pool = this.core.pool();
+		AgentRequest request = new AgentRequest(submit, this.core.records().organisation(submit.getOrganisation()),
+				this.core.records().priority(submit.getPriority()), link, this.core.nowMs(),
+				pool.spec().progressTimeoutMs());
 		Optional<Refusal> suspectRefusal = this.suspectGate.enter(request, pool);
 		this.core.update((effects) -> {
 			if (this.core.table().isKnown(submit.getId())) {
--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentSweep.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentSweep.java
@@ -36,7 +36,7 @@
 		this.core.update((effects) -> {
 			expireQueued(pool, effects);
 			refuseDetachedQueued();
-			this.core.table().started().forEach((request) -> check(request, pool, effects));
+			this.core.table().started().forEach((request) -> check(request, effects));
 			this.core.table().expire(this.core.nowMs());
 			this.core.admitQueued(pool, effects);
 		});
@@ -70,7 +70,7 @@
 		return request.detachedMs() >= 0 && this.core.nowMs() - request.detachedMs() >= DETACHED_LIMIT_MS;
 	}
 
-	private void check(AgentRequest request, AgentCore.PoolSnapshot pool, List<Runnable> effects) {
+	private void check(AgentRequest request, List<Runnable> effects) {
 		request.stream().pump();
 		request.applyBackpressure(this.core.nowMs());
 		this.core.retainIfFinished(request);
@@ -78,7 +78,7 @@
 			abortUnread(request);
 		}
 		else if (request.state() == AgentRequest.State.RUNNING) {
-			checkLimits(request, pool, effects);
+			checkLimits(request, effects);
 		}
 	}
 
@@ -92,15 +92,15 @@
 		}
 	}
 
-	private void checkLimits(AgentRequest request, AgentCore.PoolSnapshot pool, List<Runnable> effects) {
+	private void checkLimits(AgentRequest request, List<Runnable> effects) {
 		if (!request.keyed() && isDetachedTooLong(request)) {
 			cancelDetached(request, effects);
 		}
 		else if (request.deadlineMs() <= this.core.nowMs()) {
 			endAtDeadline(request, effects);
 		}
-		else if (isStuck(request, pool)) {
-			cancelStuck(request, pool, effects);
+		else if (isStuck(request)) {
+			cancelStuck(request, effects);
 		}
 	}
 
@@ -120,16 +120,16 @@
 				"The response was not complete at the deadline, after " + ranMs + " ms", 0));
 	}
 
-	private boolean isStuck(AgentRequest request, AgentCore.PoolSnapshot pool) {
+	private boolean isStuck(AgentRequest request) {
 		long silentMs = this.core.nowMs() - request.lastProgressMs();
-		return request.admitted() && !request.paused() && silentMs > pool.spec().progressTimeoutMs();
+		return request.admitted() && !request.paused() && silentMs > request.progressTimeoutMs();
 	}
 
-	private void cancelStuck(AgentRequest request, AgentCore.PoolSnapshot pool, List<Runnable> effects) {
-		EventLog.log(AgentEvent.NO_PROGRESS, RequestTrace.name(request.id()), pool.spec().progressTimeoutMs());
+	private void cancelStuck(AgentRequest request, List<Runnable> effects) {
+		EventLog.log(AgentEvent.NO_PROGRESS, RequestTrace.name(request.id()), request.progressTimeoutMs());
 		request.cancel(effects);
 		this.core.abort(request, Failure.unknown(FailureCode.NO_PROGRESS,
-				"The backend server sent nothing for " + pool.spec().progressTimeoutMs() + " ms", 0));
+				"The backend server sent nothing for " + request.progressTimeoutMs() + " ms", 0));
 	}
 
 }
--- a/server/src/test/java/org/acaciamux/internal/coordination/admission/SilentServerTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/admission/SilentServerTests.java
@@ -80,6 +80,24 @@
 		assertAnswered(fixture, id, large + "end");
 	}
 
+	/**
+	 * Guards against a response that is cut because a shorter limit comes into force
+	 * while the server pauses within the limit under which the request was accepted.
+	 */
+	@Test
+	public void aShorterLimitDoesNotEndAResponseThatBeganBefore() {
+		AgentFixture fixture = new AgentFixture();
+		RequestId id = fixture.submit();
+		FakeBackend.Run run = fixture.backend.last();
+		run.head();
+		run.data("half ");
+		fixture.pool = pool(fixture, 4, 1_000);
+		pass(fixture, PAUSE_MS);
+		run.data("whole");
+		run.end();
+		assertAnswered(fixture, id, "half whole");
+	}
+
 	private static RequestId queuedBehind(AgentFixture fixture) {
 		fixture.pool = pool(fixture, 2, fixture.pool.progressTimeoutMs());
 		return fixture.submit();
--- a/server/src/test/java/org/acaciamux/internal/coordination/routing/RequestRouterTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/routing/RequestRouterTests.java
@@ -1,5 +1,6 @@
 package org.acaciamux.internal.coordination.routing;
 
+import java.util.ArrayList;
 import java.util.List;
 
 import org.testng.annotations.Test;
@@ -10,6 +11,7 @@
 import org.acaciamux.internal.protocol.wire.Frame.BodyCase;
 import org.acaciamux.internal.protocol.wire.RequestId;
 import org.acaciamux.internal.protocol.wire.WireOutcome;
+import org.acaciamux.internal.state.record.PoolSpec;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
@@ -264,6 +266,53 @@
 		assertEquals(sink.ends, 0);
 	}
 
+	/**
+	 * Guards against a response that ends because of a change of its pool: a request
+	 * keeps the settings under which it was accepted.
+	 */
+	@Test
+	public void aChangeOrRemovalOfThePoolEndsNoRequestInFlight() {
+		for (int step = 0; step < 3; step++) {
+			for (boolean removed : new boolean[] { true, false }) {
+				assertAnsweredAfterAChange(step, removed);
+			}
+		}
+	}
+
+	private static void assertAnsweredAfterAChange(int step, boolean removed) {
+		RouterFixture fixture = new RouterFixture();
+		fixture.pendingLinks = new ArrayList<>();
+		FakeSink sink = fixture.route(RouterFixture.chat("x"));
+		if (step > 0) {
+			fixture.pendingLinks.get(0).run();
+			if (step > 1) {
+				fixture.router.handle(fixture.link("a"), AgentFrames.head(fixture.lastId(fixture.link("a")), "a"));
+			}
+		}
+		PoolSpec pool = fixture.pools.remove("chat");
+		if (!removed) {
+			fixture.pools.put("chat", withProgressTimeout(pool, 100));
+		}
+		fixture.advance(1_500);
+		if (step == 0) {
+			fixture.pendingLinks.get(0).run();
+		}
+		FakeLink a = fixture.link("a");
+		RequestId id = fixture.lastId(a);
+		fixture.router.handle(a, AgentFrames.head(id, "a"));
+		fixture.advance(1_500);
+		fixture.router.handle(a, AgentFrames.chunk(id, 0, "hello"));
+		fixture.router.handle(a, AgentFrames.end(id, 5));
+		assertTrue(sink.answered(), "step " + step + ", removed " + removed + ": " + sink.failure);
+	}
+
+	private static PoolSpec withProgressTimeout(PoolSpec pool, long timeoutMs) {
+		return new PoolSpec(pool.name(), pool.model(), pool.repeatable(), pool.loadBound(), pool.reusePreference(),
+				pool.candidates(), pool.maxConcurrency(), pool.queueLimit(), pool.queueWaitMs(), timeoutMs,
+				pool.claimPartitions(), pool.keyRetentionMs(), pool.checksFence(), pool.modelVersion(),
+				pool.adapters());
+	}
+
 	@Test
 	public void aRouterWithoutNetworkOrConfigurationRefusesWithRetryAfter() {
 		RouterFixture fixture = new RouterFixture();
