Count probes that wait at the same time as one silence

Callers saw: after one broken response, a pause of 1.5 s of a sound server made it count as crashed. Its queued requests were refused with backend-down, new ones were redirected or refused, keys' partitions were given up, and the requests in flight at the break became crash suspects, which then run alone or are refused. Cause: a server that is checked is probed every 200 ms, and each probe waits up to 1 s, so one pause of 1.4 s left three probes unanswered. Change: while the server is checked, a probe counts only if it was sent after the last counted one had ended. Probes of a server that is up are 1 s apart and count as before; a server that hangs is down after three probes in turn, about 3 s. Failed on the unchanged code: SilentServerTests#aPauseWhileTheServerIsCheckedIsNoCrash, the server counted as down.

--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/BackendHealth.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/BackendHealth.java
@@ -26,6 +26,7 @@
 
 	/**
 	 * Unanswered probes after which a server counts as down; an answer resets the count.
+	 * Probes that wait at the same time see one pause and count once.
 	 */
 	static final int SILENT_LIMIT = 3;
 
@@ -47,6 +48,9 @@
 
 	private int silentProbes;
 
+	/** First probe that was sent after the last counted one had ended. */
+	private int firstUncountedProbe;
+
 	private long nextProbeMs = Long.MIN_VALUE;
 
 	State state() {
@@ -128,7 +132,7 @@
 		return switch (health.state()) {
 			case UP -> handleUp(health.incarnation());
 			case REFUSED -> handleDown("connections are refused");
-			case SILENT -> handleSilent();
+			case SILENT -> handleSilent(probe);
 		};
 	}
 
@@ -159,7 +163,13 @@
 		return takeSuspects();
 	}
 
-	private List<T> handleSilent() {
+	private List<T> handleSilent(int probe) {
+		// Probes of a server that is up are as far apart as their time limit; those of a
+		// server that is checked overlap.
+		if (this.state == State.CHECKING && probe < this.firstUncountedProbe) {
+			return List.of();
+		}
+		this.firstUncountedProbe = this.lastProbe + 1;
 		this.silentProbes++;
 		return (this.silentProbes >= SILENT_LIMIT) ? handleDown(this.silentProbes + " probes were not answered")
 				: List.of();
--- a/server/src/test/java/org/acaciamux/internal/coordination/admission/BackendHealthTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/admission/BackendHealthTests.java
@@ -82,4 +82,23 @@
 		assertEquals(health.state(), State.DOWN);
 	}
 
+	/**
+	 * Guards against a server that hangs and never counts as down, because only probes
+	 * that do not overlap count while it is checked.
+	 */
+	@Test
+	public void aServerThatStaysSilentWhileItIsCheckedIsDownAfterThreeProbesInTurn() {
+		BackendHealth<String> health = started();
+		Health silent = new Health(Health.State.SILENT, "");
+		health.brokeOff("a", List.of("a", "b"), 10);
+		for (int turn = 1; turn <= 3; turn++) {
+			assertEquals(health.state(), State.CHECKING);
+			int first = health.startProbe(turn * 1_000L);
+			int second = health.startProbe(turn * 1_000L + BackendHealth.DOWN_PROBE_MS);
+			assertEquals(health.probed(first, silent), (turn < 3) ? List.of() : List.of("a", "b"));
+			assertEquals(health.probed(second, silent), List.of());
+		}
+		assertEquals(health.state(), State.DOWN);
+	}
+
 }
--- a/server/src/test/java/org/acaciamux/internal/coordination/admission/SilentServerTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/admission/SilentServerTests.java
@@ -98,6 +98,35 @@
 		assertAnswered(fixture, id, "half whole");
 	}
 
+	/**
+	 * Guards against a sound server that counts as crashed, and its requests as suspects,
+	 * because it pauses while it is checked after one broken response.
+	 */
+	@Test
+	public void aPauseWhileTheServerIsCheckedIsNoCrash() {
+		AgentFixture fixture = new AgentFixture();
+		fixture.submit();
+		RequestId other = fixture.submit();
+		FakeBackend.Run otherRun = fixture.backend.last();
+		RequestId queued = queuedBehind(fixture);
+		fixture.backend.answersProbes = false;
+		fixture.backend.runs.get(0).fail(Backend.Break.BROKEN_OFF);
+		long probeTimeoutMs = 1_000;
+		for (long passed = 0; passed < PAUSE_MS; passed += TICK_MS) {
+			fixture.advance(TICK_MS);
+			int timedOut = (int) ((passed + TICK_MS - probeTimeoutMs) / BackendHealth.DOWN_PROBE_MS);
+			for (int i = 0; passed + TICK_MS >= probeTimeoutMs && i <= timedOut; i++) {
+				fixture.backend.probes.get(i).complete(SILENT);
+			}
+		}
+		assertFalse(fixture.agent.backendDown());
+		fixture.backend.probes.get(fixture.backend.probes.size() - 1).complete(fixture.backend.health());
+		assertTrue(fixture.agent.suspects().isEmpty());
+		otherRun.answer("other");
+		assertAnswered(fixture, other, "other");
+		assertTrue(fixture.link.refused(queued).isEmpty());
+	}
+
 	private static RequestId queuedBehind(AgentFixture fixture) {
 		fixture.pool = pool(fixture, 2, fixture.pool.progressTimeoutMs());
 		return fixture.submit();
