Tell a connection that times out from a refused one

Callers saw: a server that accepted no connection for the connect limit of 1 s counted as down after a single probe, in any state; queued requests were refused and new ones redirected or refused. Cause: the client reported a connect timeout like a refused connection. The limits of a connect and of a probe are both 1 s, so it depended on a race whether a probe of a silent server ended as SILENT or as REFUSED. Change: a break of its own, NOT_CONNECTED. It proves that a request did not run, as NOT_SENT does, but a probe that ends with it is unanswered, and three of those are needed. Failed on the unchanged code: BackendClientTests#aConnectionThatIsNotAcceptedInTimeIsSilenceAndNoRefusal (a listener with a full backlog), REFUSED instead of SILENT.

--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/Backend.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/Backend.java
@@ -100,6 +100,11 @@
 		 * No byte of the request was written to a connection: it did not run.
 		 */
 		NOT_SENT,
+		/**
+		 * The server did not accept a connection in time: the request did not run, and
+		 * nothing shows whether the server is there.
+		 */
+		NOT_CONNECTED,
 		/**
 		 * The connection broke, or the response was malformed, after bytes were sent.
 		 */
@@ -107,7 +112,23 @@
 		/**
 		 * The agent cancelled the request.
 		 */
-		CANCELLED
+		CANCELLED;
+
+		/**
+		 * Return whether the request cannot have run.
+		 * @return whether no byte of it was written
+		 */
+		public boolean provesNotRun() {
+			return this == NOT_SENT || this == NOT_CONNECTED;
+		}
+
+		/**
+		 * Return what the break shows about the server if it ends a probe.
+		 * @return the state of the server
+		 */
+		public Health.State probeState() {
+			return (this == NOT_CONNECTED) ? Health.State.SILENT : Health.State.REFUSED;
+		}
 
 	}
 
@@ -129,7 +150,7 @@
 			UP,
 			/** The server refused or reset the connection. */
 			REFUSED,
-			/** The server accepted the connection but did not answer in time. */
+			/** The server did not accept the connection or did not answer in time. */
 			SILENT
 
 		}
--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/RequestRunner.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/RequestRunner.java
@@ -238,11 +238,11 @@
 		@Override
 		public void failed(Backend.Break cause, String detail) {
 			if (this.request.keyed()) {
-				boolean notSent = cause == Backend.Break.NOT_SENT;
-				RequestRunner.this.keyedCalls.failed(this.request, notSent ? Outcome.NOT_RUN : Outcome.UNKNOWN);
+				RequestRunner.this.keyedCalls.failed(this.request,
+						cause.provesNotRun() ? Outcome.NOT_RUN : Outcome.UNKNOWN);
 			}
 			switch (cause) {
-				case NOT_SENT -> notSent(detail);
+				case NOT_SENT, NOT_CONNECTED -> notSent(detail);
 				case BROKEN_OFF -> brokenOff(detail);
 				case CANCELLED -> cancelled(detail);
 			}
--- a/server/src/main/java/org/acaciamux/internal/transport/http/BackendExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/BackendExchange.java
@@ -13,6 +13,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -85,7 +86,7 @@
 
 	private void connected(Channel connection, Throwable cause) {
 		if (connection == null) {
-			fail(Backend.Break.NOT_SENT,
+			fail((cause instanceof ConnectTimeoutException) ? Backend.Break.NOT_CONNECTED : Backend.Break.NOT_SENT,
 					"The backend server at " + this.authority + " did not accept a connection: " + cause);
 			return;
 		}
--- a/server/src/main/java/org/acaciamux/internal/transport/http/ControlReplyListener.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/ControlReplyListener.java
@@ -58,7 +58,7 @@
 
 	@Override
 	public void failed(Backend.Break cause, String detail) {
-		this.reply.complete(Reply.without(Backend.Health.State.REFUSED));
+		this.reply.complete(Reply.without(cause.probeState()));
 	}
 
 	/**
--- a/server/src/test/java/org/acaciamux/internal/transport/http/BackendClientTests.java
+++ b/server/src/test/java/org/acaciamux/internal/transport/http/BackendClientTests.java
@@ -1,8 +1,11 @@
 package org.acaciamux.internal.transport.http;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -255,6 +258,39 @@
 		}
 	}
 
+	/**
+	 * Guards against a server that counts as down because it accepted no connection while
+	 * it paused: only a refusal shows that it is gone.
+	 */
+	@Test
+	public void aConnectionThatIsNotAcceptedInTimeIsSilenceAndNoRefusal() throws Exception {
+		try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			List<Socket> waiting = fillBacklog(full);
+			BackendSettings settings = new BackendSettings("127.0.0.1", full.getLocalPort(), false, 200, WAIT_S * 1_000,
+					64, WAIT_S * 1_000);
+			BackendClient client = new BackendClient(this.group, settings);
+			assertEquals(probe(client).state(), Backend.Health.State.SILENT);
+			assertTrue(start(client, true).outcome().startsWith("NOT_"));
+			for (Socket socket : waiting) {
+				socket.close();
+			}
+		}
+	}
+
+	private static List<Socket> fillBacklog(ServerSocket server) throws IOException {
+		List<Socket> waiting = new ArrayList<>();
+		while (true) {
+			Socket socket = new Socket();
+			waiting.add(socket);
+			try {
+				socket.connect(server.getLocalSocketAddress(), 500);
+			}
+			catch (SocketTimeoutException ex) {
+				return waiting;
+			}
+		}
+	}
+
 	private BackendClient client(int port, boolean model) {
 		return client(port, model, WAIT_S * 1_000);
 	}
