Do not take a server's pause for a caller that does not read

Callers saw: in a pool with progressTimeoutMs above 60 s, a response cut when the server went on after a pause of more than 60 s, with the reason that the caller took no bytes. Cause: the router measured the caller's stall from its last consumption, even if nothing had been waiting for it since. Change: the stall is measured from the first bytes that wait. Failed on the unchanged code: RequestRouterTests#aPauseOfTheServerIsNotTakenForACallerThatDoesNotRead, not answered.

--- a/server/src/main/java/org/acaciamux/internal/coordination/routing/ResponseReceiver.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/routing/ResponseReceiver.java
@@ -70,6 +70,7 @@
 	}
 
 	void chunk(Chunk chunk) {
+		boolean callerTookAll = !this.progress.callerHasPendingBytes();
 		ResponseProgress.Fit fit = this.started ? this.progress.accept(chunk) : ResponseProgress.Fit.GAP;
 		switch (fit) {
 			case OLD -> countDropped(Count.DROPPED_OFFSET);
@@ -78,6 +79,10 @@
 				tryResume();
 			}
 			case NEXT -> {
+				if (callerTookAll) {
+					// The caller had nothing to take until now.
+					this.consumedAt = this.shared.now();
+				}
 				this.progressAt = this.shared.now();
 				this.resuming = false;
 				this.awaitsResume = false;
--- a/server/src/test/java/org/acaciamux/internal/coordination/routing/RequestRouterTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/routing/RequestRouterTests.java
@@ -266,6 +266,25 @@
 		assertEquals(sink.ends, 0);
 	}
 
+	/**
+	 * Guards against a response that is cut when a server goes on after a long pause: its
+	 * caller had nothing to read until then.
+	 */
+	@Test
+	public void aPauseOfTheServerIsNotTakenForACallerThatDoesNotRead() {
+		RouterFixture fixture = new RouterFixture();
+		fixture.pools.put("chat", withProgressTimeout(fixture.pools.get("chat"), 120_000));
+		FakeSink sink = fixture.route(RouterFixture.chat("x"));
+		FakeLink a = fixture.link("a");
+		RequestId id = fixture.lastId(a);
+		fixture.router.handle(a, AgentFrames.head(id, "a"));
+		fixture.advance(RouterSettings.defaults().callerStallMs() + 1_000);
+		fixture.router.handle(a, AgentFrames.chunk(id, 0, "hello"));
+		fixture.advance(100);
+		fixture.router.handle(a, AgentFrames.end(id, 5));
+		assertTrue(sink.answered());
+	}
+
 	/**
 	 * Guards against a response that ends because of a change of its pool: a request
 	 * keeps the settings under which it was accepted.
