--- a/server/src/test/java/org/acaciamux/internal/protocol/HeartbeatTests.java
+++ b/server/src/test/java/org/acaciamux/internal/protocol/HeartbeatTests.java
@@ -44,6 +44,31 @@
 		assertEquals(heartbeat.tick(millis(60_000), false), Action.PING);
 	}
 
+	/**
+	 * Guards against a link that is given up because this process itself was late and has
+	 * not read the answer yet.
+	 */
+	@Test
+	public void aLateTickIsNoEvidenceOfSilence() {
+		Heartbeat heartbeat = new Heartbeat(0);
+		heartbeat.tick(millis(1_000), true);
+		heartbeat.tick(millis(1_250), true);
+		assertEquals(heartbeat.tick(millis(3_250), true), Action.NONE);
+		heartbeat.resetSilence(millis(3_251));
+		assertEquals(heartbeat.tick(millis(3_500), true), Action.NONE);
+	}
+
+	/**
+	 * Guards against a silent link that is kept because one tick was late.
+	 */
+	@Test
+	public void silenceAfterALateTickDeclaresTheConnectionSilent() {
+		Heartbeat heartbeat = new Heartbeat(0);
+		heartbeat.tick(millis(1_000), true);
+		heartbeat.tick(millis(3_250), true);
+		assertEquals(heartbeat.tick(millis(3_500), true), Action.DECLARE_SILENT);
+	}
+
 	private static long millis(long value) {
 		return TimeUnit.MILLISECONDS.toNanos(value);
 	}
