Read what has arrived before a caller's time limit ends

Callers saw: a whole request that had arrived on a kept connection got a reset instead of an answer, or a 408, because the router's event loop was busy with another connection when the idle time or the request's time ended. Cause: the timer's task ran before the loop selected and read again, and decided by what had been parsed. Change: at the end of each limit the loop reads once more; the action runs in the turn after that, unless bytes stopped the timer. The close of idle connections at the start of a drain takes the same way. Failed on the unchanged code: CallerConnectionTests#aRequestThatArrivedBeforeTheIdleTimeEndedIsAnswered and #aRequestThatArrivedWholeBeforeItsTimeEndedIsAnswered, the request reached no router. #aRequestThatArrivedBeforeTheDrainIsAnswered passed on the unchanged code, because the listener is closed in a turn of its own first; it guards that.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/CallerConnection.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/CallerConnection.java
@@ -42,6 +42,12 @@
 	 */
 	private static final long DISCARD_LIMIT_MS = 2_000;
 
+	/**
+	 * Time in which an event loop selects and reads before it runs a task, in
+	 * milliseconds: tasks with a delay run in the turn after that.
+	 */
+	private static final long READ_TURN_MS = 1;
+
 	private final RequestParser parser = new RequestParser();
 
 	private final Deque<HttpObject> pipelined = new ArrayDeque<>();
@@ -129,7 +135,7 @@
 	@Override
 	public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
 		if (event == Drain.NOW && this.response == null && !this.readingRequest) {
-			ctx.close();
+			schedule(READ_TURN_MS, ctx::close);
 		}
 	}
 
@@ -292,7 +298,17 @@
 		startTimer(this.limits.idleTimeoutMs(), this.context::close);
 	}
 
+	/**
+	 * Start a time limit. Bytes that arrive before its end count even if the event loop
+	 * is late and has not read them: it reads once more before the action runs.
+	 * @param delayMs the time in milliseconds
+	 * @param action what to do at the end, unless the timer is stopped or started again
+	 */
 	private void startTimer(long delayMs, Runnable action) {
+		schedule(delayMs, () -> schedule(READ_TURN_MS, action));
+	}
+
+	private void schedule(long delayMs, Runnable action) {
 		stopTimer();
 		this.timer = this.context.executor().schedule(action, delayMs, TimeUnit.MILLISECONDS);
 	}
