Answer requests that were read ahead when a drain begins

Callers saw: of two pipelined requests, the second was read and got neither an answer nor a refusal when a drain began before the response to the first. Cause: during a drain every response was the last one of its connection, whatever had been read after its request; the rest was discarded. Change: a response is the last one only if nothing of another request was read. The next one is answered or refused, and announces the close. Failed on the unchanged code: CallerConnectionTests#aRequestReadAheadIsAnsweredInADrain and #aRequestReadAheadInPartIsAnsweredInADrain, the second request reached no router within 20 s. Left: a part of a request that arrives in the same read as the end of the one before it is not seen, as it is inside the decoder. Its caller is told Connection: close before it has sent the whole request.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/CallerConnection.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/CallerConnection.java
@@ -208,7 +208,7 @@
 		this.readingRequest = false;
 		Either<Failure, RoutedRequest> parsed = this.parser.parse(this.request, this.body.toByteString());
 		this.body = null;
-		this.response = new CallerResponse(this.context, this.request, this.draining, this::responded);
+		this.response = new CallerResponse(this.context, this.request, this::isLast, this::responded);
 		if (parsed.isLeft()) {
 			this.response.fail(parsed.getLeft(), "");
 			return;
@@ -216,6 +216,15 @@
 		this.response.started(this.service.route(parsed.get(), this.response));
 	}
 
+	/**
+	 * Return whether the connection closes after the response: no other request follows
+	 * during a drain. One that was read, even in part, gets an answer.
+	 * @return whether a drain has begun and nothing of another request was read
+	 */
+	private boolean isLast() {
+		return this.draining.getAsBoolean() && this.pipelined.isEmpty() && !this.readingRequest;
+	}
+
 	private void releaseBody() {
 		this.bodyBudget.release(this.reservedBytes);
 		this.reservedBytes = 0;
@@ -276,7 +285,7 @@
 		this.discarding = true;
 		Failure failure = (this.request != null) ? RequestParser.refusal(this.request, code, detail)
 				: Failure.unknown(code, detail, 0);
-		this.response = new CallerResponse(this.context, null, this.draining, this::responded);
+		this.response = new CallerResponse(this.context, null, this::isLast, this::responded);
 		this.response.fail(failure, "");
 	}
 
--- a/server/src/main/java/org/acaciamux/internal/transport/http/CallerResponse.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/CallerResponse.java
@@ -42,7 +42,7 @@
 
 	private final HttpRequest request;
 
-	private final BooleanSupplier draining;
+	private final BooleanSupplier last;
 
 	private final CompletionListener completionListener;
 
@@ -62,14 +62,15 @@
 	 * Create a response.
 	 * @param context the connection
 	 * @param request the request, or null if the connection closes after the response
-	 * @param draining whether the connection closes after the response
+	 * @param last whether the connection closes after the response, asked when its head
+	 * is written
 	 * @param completionListener called when the response has been written
 	 */
-	CallerResponse(ChannelHandlerContext context, HttpRequest request, BooleanSupplier draining,
+	CallerResponse(ChannelHandlerContext context, HttpRequest request, BooleanSupplier last,
 			CompletionListener completionListener) {
 		this.context = context;
 		this.request = request;
-		this.draining = draining;
+		this.last = last;
 		this.completionListener = completionListener;
 	}
 
@@ -165,7 +166,7 @@
 		int status = response.status().code();
 		boolean head = this.request.method().equals(HttpMethod.HEAD);
 		this.bodiless = head || status == 204 || status == 304 || status < 200;
-		this.keepAlive = HttpUtil.isKeepAlive(this.request) && !this.draining.getAsBoolean();
+		this.keepAlive = HttpUtil.isKeepAlive(this.request) && !this.last.getAsBoolean();
 		if (!this.bodiless && !hasLength(response)) {
 			response.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
 			boolean chunks = this.request.protocolVersion().equals(HttpVersion.HTTP_1_1);
@@ -220,7 +221,7 @@
 
 	private void writeProblem(Failure failure, String requestId) {
 		this.finished = true;
-		this.keepAlive = this.request != null && HttpUtil.isKeepAlive(this.request) && !this.draining.getAsBoolean();
+		this.keepAlive = this.request != null && HttpUtil.isKeepAlive(this.request) && !this.last.getAsBoolean();
 		Problem problem = new Problem(failure, requestId);
 		byte[] body = problem.body();
 		DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
--- a/server/src/test/java/org/acaciamux/internal/transport/http/CallerConnectionTests.java
+++ b/server/src/test/java/org/acaciamux/internal/transport/http/CallerConnectionTests.java
@@ -71,6 +71,46 @@
 		this.loop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
 	}
 
+	/**
+	 * Guards against a pipelined request that is read and dropped because a drain begins
+	 * before the response to the request before it.
+	 */
+	@Test
+	public void aRequestReadAheadIsAnsweredInADrain() throws Exception {
+		listen(WAIT_S * 1_000, WAIT_S * 1_000);
+		try (HttpCaller caller = new HttpCaller(this.address)) {
+			caller.send(GET + GET);
+			ResponseSink first = nextCall();
+			drain();
+			first.head(head(), "id-1");
+			first.end();
+			answer(nextCall(), "id-2");
+			String both = caller.readToEnd();
+			assertTrue(both.contains("id-1") && both.contains("id-2"), both);
+			assertEquals(both.toLowerCase().split("connection: close", -1).length, 2, both);
+		}
+	}
+
+	/**
+	 * Guards against a second request that is under way when the response before it ends
+	 * during a drain.
+	 */
+	@Test
+	public void aRequestReadAheadInPartIsAnsweredInADrain() throws Exception {
+		listen(WAIT_S * 1_000, WAIT_S * 1_000);
+		try (HttpCaller caller = new HttpCaller(this.address)) {
+			caller.send(GET);
+			ResponseSink first = nextCall();
+			caller.send(GET.substring(0, 20));
+			drain();
+			answer(first, "id-1");
+			caller.readUntil("\"requestId\":\"id-1\"}");
+			caller.send(GET.substring(20));
+			answer(nextCall(), "id-2");
+			assertTrue(caller.readToEnd().contains("id-2"));
+		}
+	}
+
 	/**
 	 * Guards against a whole request that waits unread while the event loop is busy when
 	 * the idle time of its connection ends.
