Keep connections in a drain that were announced as kept

Callers saw: the connection closed at the end of a response whose head had been written before the drain, with keep-alive; the next request was reset, with an unknown outcome. Cause: a connection that became idle during a drain was closed at once. Change: it may carry another request for 500 ms, which is answered or refused (draining, not-run) with Connection: close. Failed on the unchanged code: the second request of CallerConnectionTests#aConnectionThatWasAnnouncedAsKeptAnswersTheNextRequestInADrain reached no router. #aConnectionThatWasAnnouncedAsKeptClosesInADrainIfNothingFollows passed before and guards the drain's end.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/CallerConnection.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/CallerConnection.java
@@ -42,6 +42,12 @@
 	 */
 	private static final long DISCARD_LIMIT_MS = 2_000;
 
+	/**
+	 * Time in milliseconds in which a connection may carry another request during a
+	 * drain, if the last response announced before the drain that it stays open.
+	 */
+	private static final long KEPT_IN_DRAIN_MS = 500;
+
 	/**
 	 * Time in which an event loop selects and reads before it runs a task, in
 	 * milliseconds: tasks with a delay run in the turn after that.
@@ -300,11 +306,9 @@
 	}
 
 	private void awaitRequest() {
-		if (this.draining.getAsBoolean()) {
-			this.context.close();
-			return;
-		}
-		startTimer(this.limits.idleTimeoutMs(), this.context::close);
+		long limitMs = this.draining.getAsBoolean() ? Math.min(KEPT_IN_DRAIN_MS, this.limits.idleTimeoutMs())
+				: this.limits.idleTimeoutMs();
+		startTimer(limitMs, this.context::close);
 	}
 
 	/**
--- a/server/src/test/java/org/acaciamux/internal/transport/http/CallerConnectionTests.java
+++ b/server/src/test/java/org/acaciamux/internal/transport/http/CallerConnectionTests.java
@@ -111,6 +111,45 @@
 		}
 	}
 
+	/**
+	 * Guards against a connection that closes without notice at the end of a response
+	 * whose head, written before the drain, announced that it stays open.
+	 */
+	@Test
+	public void aConnectionThatWasAnnouncedAsKeptAnswersTheNextRequestInADrain() throws Exception {
+		listen(WAIT_S * 1_000, WAIT_S * 1_000);
+		try (HttpCaller caller = new HttpCaller(this.address)) {
+			caller.send(GET);
+			ResponseSink first = nextCall();
+			first.head(head(), "id-1");
+			caller.readUntil("\r\n\r\n");
+			drain();
+			first.end();
+			caller.readUntil("0\r\n\r\n");
+			caller.send(GET);
+			answer(nextCall(), "id-2");
+			String second = caller.readToEnd();
+			assertTrue(second.contains("id-2") && second.toLowerCase().contains("connection: close"), second);
+		}
+	}
+
+	/**
+	 * Guards against a drain that waits for a caller that sends nothing more.
+	 */
+	@Test
+	public void aConnectionThatWasAnnouncedAsKeptClosesInADrainIfNothingFollows() throws Exception {
+		listen(WAIT_S * 1_000, WAIT_S * 1_000);
+		try (HttpCaller caller = new HttpCaller(this.address)) {
+			caller.send(GET);
+			ResponseSink first = nextCall();
+			first.head(head(), "id-1");
+			caller.readUntil("\r\n\r\n");
+			drain();
+			first.end();
+			assertEquals(caller.readToEnd(), "0\r\n\r\n");
+		}
+	}
+
 	/**
 	 * Guards against a whole request that waits unread while the event loop is busy when
 	 * the idle time of its connection ends.
