--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentRequest.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentRequest.java
@@ -22,6 +22,8 @@
 
 	private final long arrivedMs;
 
+	private final long progressTimeoutMs;
+
 	private final ResponseSender stream;
 
 	private final RequestTrace trace;
@@ -42,11 +44,13 @@
 
 	private long detachedMs = -1;
 
-	AgentRequest(Submit submit, OrganisationSpec organisation, PrioritySpec priority, PeerLink link, long arrivedMs) {
+	AgentRequest(Submit submit, OrganisationSpec organisation, PrioritySpec priority, PeerLink link, long arrivedMs,
+			long progressTimeoutMs) {
 		this.submit = submit;
 		this.organisation = organisation;
 		this.priority = priority;
 		this.arrivedMs = arrivedMs;
+		this.progressTimeoutMs = progressTimeoutMs;
 		this.trace = new RequestTrace(submit, arrivedMs);
 		this.stream = new ResponseSender(submit.getId(), link, Integer.toUnsignedLong(submit.getInitialCredit()));
 	}
@@ -155,11 +159,15 @@
 
 	/**
 	 * Pause or resume reading from the backend server, according to the unsent bytes. A
-	 * keyed call is always read to its end, because its answer must be stored.
+	 * keyed call is always read to its end, because its answer must be stored. The server
+	 * cannot make progress while reading is paused, so its time without progress starts
+	 * over.
+	 * @param nowMs the time
 	 */
-	void applyBackpressure() {
+	void applyBackpressure(long nowMs) {
 		if (this.paused && this.stream.belowLowWater()) {
 			this.paused = false;
+			this.lastProgressMs = nowMs;
 			if (this.call != null) {
 				this.call.resume();
 			}
@@ -176,6 +184,15 @@
 		return this.paused;
 	}
 
+	/**
+	 * Return the longest time without progress. A change of the pool does not affect
+	 * requests that have arrived.
+	 * @return the limit of the pool when the request arrived, in milliseconds
+	 */
+	long progressTimeoutMs() {
+		return this.progressTimeoutMs;
+	}
+
 	long lastProgressMs() {
 		return this.lastProgressMs;
 	}
--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentService.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentService.java
@@ -97,9 +97,10 @@
 
 	private void submit(PeerLink link, Submit submit) {
 		watch(link);
-		AgentRequest request = new AgentRequest(submit, this.core.records().organisation(submit.getOrganisation()),
-				this.core.records().priority(submit.getPriority()), link, this.core.nowMs());
 		AgentCore.PoolSnapshot pool = this.core.pool();
+		AgentRequest request = new AgentRequest(submit, this.core.records().organisation(submit.getOrganisation()),
+				this.core.records().priority(submit.getPriority()), link, this.core.nowMs(),
+				pool.spec().progressTimeoutMs());
 		Optional<Refusal> suspectRefusal = this.suspectGate.enter(request, pool);
 		this.core.update((effects) -> {
 			if (this.core.table().isKnown(submit.getId())) {
@@ -156,7 +157,7 @@
 	private void credit(Credit credit) {
 		this.core.update((effects) -> this.core.table().find(credit.getId()).ifPresent((request) -> {
 			request.stream().credit(Integer.toUnsignedLong(credit.getBytes()));
-			request.applyBackpressure();
+			request.applyBackpressure(this.core.nowMs());
 			this.core.retainIfFinished(request);
 		}));
 	}
@@ -202,7 +203,7 @@
 			return;
 		}
 		detachIfClosed(request, link);
-		request.applyBackpressure();
+		request.applyBackpressure(this.core.nowMs());
 		this.core.retainIfFinished(request);
 	}
 
@@ -239,7 +240,7 @@
 	private void linkWritable(PeerLink link) {
 		this.core.update((effects) -> this.core.table().forLink(link).forEach((request) -> {
 			request.stream().pump();
-			request.applyBackpressure();
+			request.applyBackpressure(this.core.nowMs());
 			this.core.retainIfFinished(request);
 		}));
 	}
--- a/server/src/main/java/org/acaciamux/internal/transport/http/CallerConnection.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/CallerConnection.java
@@ -42,6 +42,18 @@
 	 */
 	private static final long DISCARD_LIMIT_MS = 2_000;
 
+	/**
+	 * Time in milliseconds in which a connection may carry another request during a
+	 * drain, if the last response announced before the drain that it stays open.
+	 */
+	private static final long KEPT_IN_DRAIN_MS = 500;
+
+	/**
+	 * Time in which an event loop selects and reads before it runs a task, in
+	 * milliseconds: tasks with a delay run in the turn after that.
+	 */
+	private static final long READ_TURN_MS = 1;
+
 	private final RequestParser parser = new RequestParser();
 
 	private final Deque<HttpObject> pipelined = new ArrayDeque<>();
@@ -129,7 +141,7 @@
 	@Override
 	public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
 		if (event == Drain.NOW && this.response == null && !this.readingRequest) {
-			ctx.close();
+			schedule(READ_TURN_MS, ctx::close);
 		}
 	}
 
@@ -202,7 +214,7 @@
 		this.readingRequest = false;
 		Either<Failure, RoutedRequest> parsed = this.parser.parse(this.request, this.body.toByteString());
 		this.body = null;
-		this.response = new CallerResponse(this.context, this.request, this.draining, this::responded);
+		this.response = new CallerResponse(this.context, this.request, this::isLast, this::responded);
 		if (parsed.isLeft()) {
 			this.response.fail(parsed.getLeft(), "");
 			return;
@@ -210,6 +222,15 @@
 		this.response.started(this.service.route(parsed.get(), this.response));
 	}
 
+	/**
+	 * Return whether the connection closes after the response: no other request follows
+	 * during a drain. One that was read, even in part, gets an answer.
+	 * @return whether a drain has begun and nothing of another request was read
+	 */
+	private boolean isLast() {
+		return this.draining.getAsBoolean() && this.pipelined.isEmpty() && !this.readingRequest;
+	}
+
 	private void releaseBody() {
 		this.bodyBudget.release(this.reservedBytes);
 		this.reservedBytes = 0;
@@ -270,7 +291,7 @@
 		this.discarding = true;
 		Failure failure = (this.request != null) ? RequestParser.refusal(this.request, code, detail)
 				: Failure.unknown(code, detail, 0);
-		this.response = new CallerResponse(this.context, null, this.draining, this::responded);
+		this.response = new CallerResponse(this.context, null, this::isLast, this::responded);
 		this.response.fail(failure, "");
 	}
 
@@ -285,14 +306,22 @@
 	}
 
 	private void awaitRequest() {
-		if (this.draining.getAsBoolean()) {
-			this.context.close();
-			return;
-		}
-		startTimer(this.limits.idleTimeoutMs(), this.context::close);
+		long limitMs = this.draining.getAsBoolean() ? Math.min(KEPT_IN_DRAIN_MS, this.limits.idleTimeoutMs())
+				: this.limits.idleTimeoutMs();
+		startTimer(limitMs, this.context::close);
 	}
 
+	/**
+	 * Start a time limit. Bytes that arrive before its end count even if the event loop
+	 * is late and has not read them: it reads once more before the action runs.
+	 * @param delayMs the time in milliseconds
+	 * @param action what to do at the end, unless the timer is stopped or started again
+	 */
 	private void startTimer(long delayMs, Runnable action) {
+		schedule(delayMs, () -> schedule(READ_TURN_MS, action));
+	}
+
+	private void schedule(long delayMs, Runnable action) {
 		stopTimer();
 		this.timer = this.context.executor().schedule(action, delayMs, TimeUnit.MILLISECONDS);
 	}
