Keep the silent send until another server has accepted the request

A request that was moved away from a silent server ended without the rest of its response, or with 502, if the other server rejected it at once or its pooled connection was stale: the first send was cancelled by then.

Cause: a connection does not show that a server takes the request. Change: both sends are open until the other server responds, for 200 ms at most; what the silent server sends meanwhile goes to the caller and ends the other send.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/AttemptPolicy.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/AttemptPolicy.java
@@ -56,7 +56,7 @@
 	 * @return whether it may
 	 */
 	public boolean allowsAnotherRun() {
-		return this.route.repeatable() && this.ran + 1 < this.route.maxAttempts();
+		return this.route.repeatable() && this.ran + 1 < this.route.maxAttempts() && this.notRun < MAX_NOT_RUN;
 	}
 
 	/**
--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/Placement.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/Placement.java
@@ -122,6 +122,7 @@
 			cost += candidates.contains(server, request) ? 0 : Penalty.NOT_CANDIDATE.ms;
 			cost += (server.load(now) >= server.entry().slots()) ? Penalty.NO_FREE_SLOT.ms : 0;
 			cost += server.suspect(now) ? Penalty.SUSPECT.ms : 0;
+			cost += server.suspect(now) && server.refusing() ? Penalty.REFUSING.ms : 0;
 			if (best == null || cost < bestCost) {
 				best = server;
 				bestCost = cost;
@@ -276,7 +277,10 @@
 		OVER_BOUND(100_000),
 
 		/** Recently unreachable: above every cost of a reachable server. */
-		SUSPECT(10_000_000);
+		SUSPECT(10_000_000),
+
+		/** Recently refused a connection: one that is only silent may serve requests. */
+		REFUSING(20_000_000);
 
 		private final double ms;
 
--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/RetryBudgets.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/RetryBudgets.java
@@ -73,12 +73,11 @@
 	}
 
 	/**
-	 * Return whether a retry is left in the budget, without using it.
+	 * Give back a retry that was taken and not used.
 	 * @param service the service that serves it
-	 * @return whether {@link #tryRetry} would allow it
 	 */
-	public boolean allowsRetry(String service) {
-		return budget(service).allowsRetry();
+	public void returnRetry(String service) {
+		budget(service).returnRetry();
 	}
 
 	private RetryBudget budget(String service) {
--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/ServerState.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/ServerState.java
@@ -241,7 +241,12 @@
 		return (this.outages == 0) ? this.entry.lifetime() : this.entry.lifetime() + "#" + this.outages;
 	}
 
-	boolean suspect(long now) {
+	/**
+	 * Return whether the server gets no new requests because it could not be reached.
+	 * @param now the monotonic time in nanoseconds
+	 * @return whether it is suspect
+	 */
+	public boolean suspect(long now) {
 		return this.suspect && this.suspectUntil - now > 0;
 	}
 
@@ -254,6 +259,10 @@
 		return this.failuresToReach > 0;
 	}
 
+	boolean refusing() {
+		return this.refusing;
+	}
+
 	void peersInFlight(int requests) {
 		this.peersInFlight = requests;
 	}
--- a/server/src/main/java/org/acaciamux/internal/coordination/routing/RetryBudget.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/routing/RetryBudget.java
@@ -51,14 +51,6 @@
 		this.lock.run(() -> this.tokens = Math.min(this.capacity, this.tokens + this.percent));
 	}
 
-	/**
-	 * Return whether a retry is left, without taking it.
-	 * @return whether one is left
-	 */
-	public boolean allowsRetry() {
-		return this.lock.get(() -> this.tokens >= TOKENS_PER_RETRY);
-	}
-
 	/**
 	 * Take a retry from the budget.
 	 * @return whether the retry is allowed
@@ -73,4 +65,11 @@
 		});
 	}
 
+	/**
+	 * Give back a retry that was taken and not used.
+	 */
+	public void returnRetry() {
+		this.lock.run(() -> this.tokens = Math.min(this.capacity, this.tokens + TOKENS_PER_RETRY));
+	}
+
 }
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectContext.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectContext.java
@@ -194,9 +194,11 @@
 	public void tick() {
 		long now = now();
 		boolean late = (now - this.lastTickAt) / NANOS_PER_MS > LATE_TICK_MS;
+		// Bytes that arrived while the event loop was busy are read after this check.
+		long readUntil = late ? this.lastTickAt : now;
 		this.lastTickAt = now;
 		for (DirectExchange exchange : this.exchanges.toArray(DirectExchange[]::new)) {
-			exchange.tick(late);
+			exchange.tick(readUntil);
 		}
 		this.channels.tick();
 	}
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
@@ -27,11 +27,11 @@
 
 /**
  * One request of a caller from its arrival to its final response. Invariants: exactly one
- * final response, or the caller's connection closes; at most one send is in progress;
- * after a send without a usable response {@link AttemptPolicy} decides how to continue.
- * Confined to the event loop.
+ * final response, or the caller's connection closes; at most two sends are in progress,
+ * two only while one takes over from a silent server; after a send without a usable
+ * response {@link AttemptPolicy} decides how to continue. Confined to the event loop.
  */
-final class DirectExchange implements ServerChannel.ServerListener {
+final class DirectExchange implements ServerSend.Listener, ServerTakeover.Host {
 
 	/**
 	 * Longest wait for the first configuration, in milliseconds: half of the time that
@@ -136,7 +136,7 @@
 		this.policy = new AttemptPolicy(route);
 		this.relay = new ResponseRelay(this.caller, route, this.context.heldBytes());
 		this.crashes = new CrashHistory(this.context, request, organisation, this.body);
-		this.takeover = new ServerTakeover(this.context, this.admitted, this.policy, this.crashes, this::takeOver);
+		this.takeover = new ServerTakeover(this.context, this.admitted, this.policy, this.crashes, this);
 		send();
 	}
 
@@ -175,7 +175,7 @@
 	private void connected(Either<ServerChannels.Unavailable, ServerChannel> result) {
 		if (result.isLeft()) {
 			this.crashes.notConnected(result.getLeft(), this.current.server());
-			broken(SendResult.NOT_SENT, result.getLeft().reason());
+			broken(this.current, SendResult.NOT_SENT, result.getLeft().reason());
 			return;
 		}
 		if (this.admitted.remainingMs(this.context.now()) < 1) {
@@ -184,58 +184,64 @@
 			conclude(this.policy.giveUp(relayStarted()), "the time limit passed before the request was sent");
 			return;
 		}
-		transmit(result.get());
+		transmit(this.current, result.get());
 	}
 
-	private void transmit(ServerChannel channel) {
+	@Override
+	public void transmit(ServerSend send, ServerChannel channel) {
 		this.sends++;
-		this.context.placements().add(this.current.serverId(), this.admitted.request().prompt());
-		WireFormat.Forwarding forwarding = new WireFormat.Forwarding(this.current.serverId(),
+		if (send != this.current) {
+			this.context.metrics().retry();
+		}
+		this.context.placements().add(send.serverId(), this.admitted.request().prompt());
+		WireFormat.Forwarding forwarding = new WireFormat.Forwarding(send.serverId(),
 				this.admitted.remainingMs(this.context.now()), this.admitted.organisation().map(Organisation::name),
-				this.relay.lastEventId(), this.current.promptSource());
-		this.current.transmit(channel, OutgoingRequest.of(this.head, this.body, this.context.format(), forwarding),
-				this);
+				this.relay.lastEventId(), send.promptSource());
+		send.transmit(channel, OutgoingRequest.of(this.head, this.body, this.context.format(), forwarding), this);
 	}
 
 	@Override
-	public void head(HttpResponse head, WireFormat.ServerReply reply) {
-		long now = this.context.now();
-		this.current.headReceived();
-		ServerState server = this.current.server();
-		reply.load().ifPresent((load) -> server.reported(load, now));
+	public void head(ServerSend send, HttpResponse head, WireFormat.ServerReply reply) {
 		int status = head.status().code();
-		this.log.head(BodyFraming.of(this.head.method(), head));
 		Optional<SendResult> unusable = ResponsePolicy.unusable(status, reply.notRun(),
 				reply.sealed() && !reply.encoded(), this.admitted.route().repeatable(), relayStarted());
-		this.crashes.responded(status, server);
+		this.crashes.responded(status, send.server());
+		boolean next = this.takeover.isNext(send);
+		if (!next) {
+			this.log.head(BodyFraming.of(this.head.method(), head));
+		}
 		if (unusable.isPresent()) {
-			abandonSend(unusable.get(), "status " + status + (reply.notRun() ? ", not run" : ""));
+			abandonSend(send, unusable.get(), "status " + status + (reply.notRun() ? ", not run" : ""));
 			return;
 		}
-		server.recordResult(ResponsePolicy.failure(status));
+		if (next) {
+			takeOver();
+			this.log.head(BodyFraming.of(this.head.method(), head));
+		}
+		else {
+			this.takeover.cancel();
+		}
+		send.server().recordResult(ResponsePolicy.failure(status));
 		this.relay.head(head);
 	}
 
 	// Closes the connection, because the rest of the response will not be read.
-	private void abandonSend(SendResult result, String reason) {
-		this.current.cancel();
-		broken(result, reason);
+	private void abandonSend(ServerSend send, SendResult result, String reason) {
+		send.cancel();
+		broken(send, result, reason);
 	}
 
 	@Override
-	public void data(ByteBuf data) {
-		if (this.current == null) {
-			return;
-		}
-		this.current.dataReceived();
+	public void data(ServerSend send, ByteBuf data) {
+		this.takeover.cancel();
 		this.log.data(this.context.now(), data.readableBytes());
 		boolean writable = this.relay.data(data);
 		if (this.relay.tooLong()) {
-			abandonSend(SendResult.BROKEN, "the response does not end");
+			abandonSend(send, SendResult.BROKEN, "the response does not end");
 			return;
 		}
 		if (!writable) {
-			this.current.setReading(false);
+			send.setReading(false);
 		}
 	}
 
@@ -243,13 +249,21 @@
 		return this.relay.started();
 	}
 
+	/**
+	 * Return whether another server can continue the response: a stream continues after
+	 * the last event that was passed on.
+	 */
+	@Override
+	public boolean continuable() {
+		return !relayStarted() || this.relay.lastEventId().isPresent();
+	}
+
 	@Override
-	public void end() {
-		if (this.ended || this.current == null) {
+	public void completed(ServerSend send) {
+		if (this.ended) {
 			return;
 		}
-		this.context.admission()
-			.answered(this.admitted.service(), (this.context.now() - this.current.sentAt()) / NANOS_PER_MS);
+		this.context.admission().answered(this.admitted.service(), (this.context.now() - send.sentAt()) / NANOS_PER_MS);
 		endSends();
 		this.crashes.completed(this.relay.status());
 		close("answered", "status " + this.relay.status());
@@ -257,15 +271,24 @@
 	}
 
 	@Override
-	public void broken(SendResult result, String reason) {
+	public void broken(ServerSend send, SendResult result, String reason) {
 		if (this.ended) {
 			return;
 		}
-		recordFailure(result, reason);
-		endSends();
+		recordFailure(send, result, reason);
+		if (this.takeover.isNext(send)) {
+			this.takeover.failed(result);
+			return;
+		}
+		this.relay.discard();
 		Decision decision = this.policy.after(result, relayStarted());
-		if (decision != Decision.SEND_AGAIN) {
-			conclude(decision, reason);
+		if (this.takeover.sent()) {
+			continueAtOtherServer();
+			return;
+		}
+		endSends();
+		if (decision != Decision.SEND_AGAIN || !continuable()) {
+			conclude((decision != Decision.SEND_AGAIN) ? decision : this.policy.giveUp(relayStarted()), reason);
 			return;
 		}
 		if (!this.crashes.allowsResend(result)) {
@@ -276,27 +299,21 @@
 			conclude(this.policy.giveUp(relayStarted()), "the retry budget is used up after: " + reason);
 			return;
 		}
-		countResend();
-		send();
-	}
-
-	private void recordFailure(SendResult result, String reason) {
-		ServerState server = this.current.server();
-		this.relay.discard();
-		if (!result.notRun()) {
-			server.recordResult(true);
-		}
-		this.crashes.sendFailed(result, server);
-		this.log.sendFailed(result, server.entry().id(), this.crashes, reason);
-	}
-
-	private void countResend() {
 		if (this.policy.nextIsRetry()) {
 			this.context.metrics().retry();
 		}
 		if (relayStarted()) {
 			this.context.metrics().resume();
 		}
+		send();
+	}
+
+	private void recordFailure(ServerSend send, SendResult result, String reason) {
+		if (!result.notRun()) {
+			send.server().recordResult(true);
+		}
+		this.crashes.sendFailed(result, send.server());
+		this.log.sendFailed(result, send.serverId(), this.crashes, reason);
 	}
 
 	private void endSends() {
@@ -347,38 +364,45 @@
 
 	/**
 	 * Check the time limit, and whether the server is silent.
-	 * @param late whether the event loop was busy before, so that bytes may have arrived
-	 * that were not read yet
+	 * @param readUntil time up to which everything that arrived has been read, monotonic
+	 * in nanoseconds
 	 */
-	void tick(boolean late) {
-		long now = this.context.now();
-		if (this.ended || now < this.deadlineAt && this.admitted == null) {
+	void tick(long readUntil) {
+		boolean expired = readUntil >= this.deadlineAt;
+		if (this.ended || !expired && this.admitted == null) {
 			return;
 		}
 		if (this.admitted == null) {
 			refuse("no configuration or no backend server is known yet");
 			return;
 		}
-		if (now >= this.deadlineAt) {
+		if (expired) {
 			cancelSend();
 			conclude(this.policy.giveUp(relayStarted()), "the time limit has passed");
 			return;
 		}
-		if (!late && this.current != null && this.current.awaitsResponse()) {
-			this.takeover.check(this.current, this.tried);
+		if (this.current != null && this.current.awaitsResponse()) {
+			this.takeover.check(this.current, this.tried, readUntil);
 		}
 	}
 
-	private void takeOver(ServerSend next, ServerChannel channel) {
-		this.crashes.givenUp(this.current.server(), this.current.sentAt(), true);
-		recordFailure(SendResult.SILENT, "no bytes for " + this.current.silentMs(this.context.now()) + " ms");
-		this.current.cancel();
+	@Override
+	public void takeOver() {
+		recordFailure(this.current, SendResult.SILENT,
+				"no bytes for " + this.current.silentMs(this.context.now()) + " ms");
+		this.relay.discard();
 		this.policy.after(SendResult.SILENT, relayStarted());
-		countResend();
-		this.current = next;
-		this.tried.add(next.serverId());
-		this.log.sent(next.choice());
-		transmit(channel);
+		continueAtOtherServer();
+	}
+
+	private void continueAtOtherServer() {
+		this.current.cancel();
+		this.current = this.takeover.complete();
+		this.tried.add(this.current.serverId());
+		this.log.sent(this.current.choice());
+		if (relayStarted()) {
+			this.context.metrics().resume();
+		}
 	}
 
 	private void cancelSend() {
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
@@ -290,7 +290,7 @@
 		ServerListener receiver = this.listener;
 		this.listener = null;
 		finish();
-		receiver.end();
+		receiver.completed();
 	}
 
 	private void finish() {
@@ -328,7 +328,7 @@
 	}
 
 	/**
-	 * Receives one response. No call follows {@link #end} or {@link #broken}.
+	 * Receives one response. No call follows {@link #completed} or {@link #broken}.
 	 */
 	interface ServerListener {
 
@@ -348,7 +348,7 @@
 		/**
 		 * The response is complete.
 		 */
-		void end();
+		void completed();
 
 		/**
 		 * The response will not be completed.
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerSend.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerSend.java
@@ -3,9 +3,12 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.vavr.control.Either;
 
+import org.acaciamux.internal.coordination.direct.SendResult;
 import org.acaciamux.internal.coordination.direct.ServerState;
 import org.acaciamux.settings.Endpoint;
 
@@ -15,7 +18,7 @@
  * as in flight until {@link #end}; a connection that is opened after the end is released
  * unused. Confined to the event loop.
  */
-final class ServerSend {
+final class ServerSend implements ServerChannel.ServerListener {
 
 	private static final long NANOS_PER_MS = 1_000_000;
 
@@ -43,10 +46,10 @@
 
 	private boolean readingPaused;
 
-	private boolean silenceReported;
-
 	private boolean ended;
 
+	private Listener listener;
+
 	/**
 	 * Create a send, which counts as in flight at the server from now on.
 	 * @param context the shared components
@@ -108,13 +111,14 @@
 	 * Send the request.
 	 * @param to the connection
 	 * @param message the request as the server gets it
-	 * @param listener receives the response
+	 * @param receiver receives the response
 	 */
-	void transmit(ServerChannel to, FullHttpRequest message, ServerChannel.ServerListener listener) {
+	void transmit(ServerChannel to, FullHttpRequest message, Listener receiver) {
+		this.listener = receiver;
 		this.sentAt = this.context.now();
 		this.lastDataAt = this.sentAt;
 		this.channel = to;
-		to.send(message, this.admitted.request().attemptId(), this.admitted.route().streaming(), listener);
+		to.send(message, this.admitted.request().attemptId(), this.admitted.route().streaming(), this);
 	}
 
 	/**
@@ -129,17 +133,34 @@
 		return this.sentAt;
 	}
 
-	void headReceived() {
+	@Override
+	public void head(HttpResponse head, WireFormat.ServerReply reply) {
 		this.headReceived = true;
 		this.lastDataAt = this.context.now();
+		reply.load().ifPresent((load) -> this.server.reported(load, this.lastDataAt));
+		this.listener.head(this, head, reply);
 	}
 
-	void dataReceived() {
+	@Override
+	public void data(ByteBuf data) {
+		if (this.ended) {
+			return;
+		}
 		this.dataReceived = true;
 		this.lastDataAt = this.context.now();
-		this.silenceReported = false;
 		this.server.promptRead(this.pendingTokens);
 		this.pendingTokens = 0;
+		this.listener.data(this, data);
+	}
+
+	@Override
+	public void completed() {
+		this.listener.completed(this);
+	}
+
+	@Override
+	public void broken(SendResult result, String reason) {
+		this.listener.broken(this, result, reason);
 	}
 
 	/**
@@ -171,17 +192,6 @@
 		return this.readingPaused ? 0 : (now - this.lastDataAt) / NANOS_PER_MS;
 	}
 
-	/**
-	 * Tell placement once for each period of silence that the server does not respond.
-	 * @param now the monotonic time in nanoseconds
-	 */
-	void reportSilence(long now) {
-		if (!this.silenceReported) {
-			this.silenceReported = true;
-			this.server.failedToReach(now);
-		}
-	}
-
 	/**
 	 * End the send, and close its connection, so that the server stops its work.
 	 */
@@ -206,4 +216,41 @@
 		this.server.ended();
 	}
 
+	/**
+	 * Receives the response of a send. No call follows {@link #completed} or
+	 * {@link #broken}.
+	 */
+	interface Listener {
+
+		/**
+		 * The head of the response arrived.
+		 * @param send the send
+		 * @param head the head
+		 * @param reply what the server states in its headers
+		 */
+		void head(ServerSend send, HttpResponse head, WireFormat.ServerReply reply);
+
+		/**
+		 * A part of the body arrived.
+		 * @param send the send
+		 * @param data the part, valid during the call
+		 */
+		void data(ServerSend send, ByteBuf data);
+
+		/**
+		 * The response is complete.
+		 * @param send the send
+		 */
+		void completed(ServerSend send);
+
+		/**
+		 * The response will not be completed.
+		 * @param send the send
+		 * @param result how the send ended
+		 * @param reason the cause, for the log
+		 */
+		void broken(ServerSend send, SendResult result, String reason);
+
+	}
+
 }
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerTakeover.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerTakeover.java
@@ -1,7 +1,8 @@
 package org.acaciamux.internal.transport.http.direct;
 
+import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
-import java.util.function.BiConsumer;
 
 import io.vavr.control.Either;
 
@@ -12,14 +13,28 @@
 
 /**
  * Finds another server for a request whose server is silent. A sound server may be silent
- * for a second or so and then go on, so the silent send goes on until another server is
- * connected. Invariants: at most one connection is being opened; a retry is taken from
- * the budget only for a server that takes over. Confined to the event loop.
+ * for a second or so and then go on, so the silent send goes on until the other server
+ * has accepted the request. Invariants: at most one other send is open; a retry is taken
+ * from the budget before its connection is opened, and given back if nothing is sent.
+ * Confined to the event loop.
  */
 final class ServerTakeover {
 
+	/**
+	 * Longest time that both sends are open without a response of the other server, in
+	 * milliseconds: servers reject requests at once, and two servers must not work on one
+	 * request for long.
+	 */
+	private static final long MAX_OVERLAP_MS = 200;
+
+	/** Servers that are considered in one check. */
+	private static final int MAX_CANDIDATES = 3;
+
 	private static final long NANOS_PER_MS = 1_000_000;
 
+	/** Servers that could not be connected for this request. */
+	private final Set<String> avoided = new HashSet<>();
+
 	private final DirectContext context;
 
 	private final AdmittedRequest admitted;
@@ -28,9 +43,9 @@
 
 	private final CrashHistory crashes;
 
-	private final BiConsumer<ServerSend, ServerChannel> action;
+	private final Host host;
 
-	/** The send to the server that is being connected, null while there is none. */
+	/** The send to the other server, null while there is none. */
 	private ServerSend next;
 
 	/**
@@ -39,37 +54,50 @@
 	 * @param admitted the request
 	 * @param policy decides whether it may run again
 	 * @param crashes the crashes of servers that were running it
-	 * @param action sends the request over a connection to another server
+	 * @param host the request
 	 */
 	ServerTakeover(DirectContext context, AdmittedRequest admitted, AttemptPolicy policy, CrashHistory crashes,
-			BiConsumer<ServerSend, ServerChannel> action) {
+			Host host) {
 		this.context = context;
 		this.admitted = admitted;
 		this.policy = policy;
 		this.crashes = crashes;
-		this.action = action;
+		this.host = host;
 	}
 
 	/**
-	 * Begin to connect another server if the server of a send is silent and another one
-	 * may run the request.
+	 * Begin or complete the takeover of a send whose server is silent.
 	 * @param current the send
-	 * @param tried ids of the servers that have already been tried; one that cannot be
-	 * connected is added
+	 * @param tried ids of the servers that have already been tried
+	 * @param readUntil time up to which everything that arrived has been read, monotonic
+	 * in nanoseconds
 	 */
-	void check(ServerSend current, Set<String> tried) {
-		long now = this.context.now();
-		if (!needed(current, now)) {
+	void check(ServerSend current, Set<String> tried, long readUntil) {
+		reportSilence(current, readUntil);
+		if (this.next != null) {
+			boolean accepted = this.next.awaitsResponse()
+					&& (readUntil - this.next.sentAt()) / NANOS_PER_MS > MAX_OVERLAP_MS;
+			if (accepted) {
+				this.host.takeOver();
+			}
 			return;
 		}
-		if (unresponsive(current, now)) {
-			current.reportSilence(now);
+		if (needed(current, readUntil) && mayRunElsewhere()) {
+			choose(tried).filter((server) -> this.context.budgets().tryRetry(this.admitted.service()))
+				.ifPresent((server) -> connect(current, server));
 		}
-		if (this.next == null && mayRunElsewhere()) {
-			this.context.placement()
-				.choose(this.admitted.service(), this.admitted.request(), tried)
-				.filter(this::hasRoom)
-				.ifPresent((server) -> connect(current, server, tried));
+	}
+
+	// Keeps new requests away from the server, also if this one cannot be moved.
+	private void reportSilence(ServerSend current, long now) {
+		ServerState server = current.server();
+		if (unresponsive(current, now) && SilencePolicy.unresponsive(current.silentMs(now)) && !server.suspect(now)) {
+			server.failedToReach(now);
+			this.context.log()
+				.line("event=server-silent server=" + current.serverId() + " request="
+						+ this.admitted.request().attemptId() + " silentMs=" + current.silentMs(now) + " begun="
+						+ current.responding(this.admitted.route().streaming()) + " mayRunElsewhere="
+						+ mayRunElsewhere());
 		}
 	}
 
@@ -84,8 +112,22 @@
 	}
 
 	private boolean mayRunElsewhere() {
-		return this.policy.allowsAnotherRun() && this.crashes.allowsResend(SendResult.SILENT)
-				&& this.context.budgets().allowsRetry(this.admitted.service());
+		return this.host.continuable() && this.policy.allowsAnotherRun() && !this.crashes.refused()
+				&& this.crashes.allowsResend(SendResult.SILENT);
+	}
+
+	private Optional<ServerState> choose(Set<String> tried) {
+		Set<String> excluded = new HashSet<>(tried);
+		excluded.addAll(this.avoided);
+		for (int i = 0; i < MAX_CANDIDATES; i++) {
+			Optional<ServerState> server = this.context.placement()
+				.choose(this.admitted.service(), this.admitted.request(), excluded);
+			if (server.isEmpty() || hasRoom(server.get())) {
+				return server;
+			}
+			excluded.add(server.get().entry().id());
+		}
+		return Optional.empty();
 	}
 
 	private boolean hasRoom(ServerState server) {
@@ -93,39 +135,109 @@
 				&& this.context.admission().refusal(server, this.admitted.route(), this.admitted.waitClass()).isEmpty();
 	}
 
-	private void connect(ServerSend current, ServerState server, Set<String> tried) {
+	private void connect(ServerSend current, ServerState server) {
 		this.next = new ServerSend(this.context, this.admitted, server);
-		this.next.connect((result) -> connected(current, result, tried));
+		this.next.connect((result) -> connected(current, result));
 	}
 
-	private void connected(ServerSend current, Either<ServerChannels.Unavailable, ServerChannel> result,
-			Set<String> tried) {
-		ServerSend other = this.next;
-		this.next = null;
+	private void connected(ServerSend current, Either<ServerChannels.Unavailable, ServerChannel> result) {
 		if (result.isLeft()) {
-			this.crashes.notConnected(result.getLeft(), other.server());
-			tried.add(other.serverId());
-			other.end();
+			this.crashes.notConnected(result.getLeft(), this.next.server());
+			this.avoided.add(this.next.serverId());
+			cancel();
 			return;
 		}
 		long now = this.context.now();
-		if (!needed(current, now) || this.admitted.remainingMs(now) < 1
-				|| !this.context.budgets().tryRetry(this.admitted.service())) {
+		boolean sends = needed(current, now) && this.admitted.remainingMs(now) >= 1;
+		if (sends) {
+			this.crashes.givenUp(current.server(), current.sentAt(), true);
+		}
+		if (!sends || this.crashes.refused()) {
 			this.context.channels().release(result.get());
-			other.end();
+			cancel();
 			return;
 		}
-		this.action.accept(other, result.get());
+		this.host.transmit(this.next, result.get());
+	}
+
+	/**
+	 * Return whether a send is the one to the other server.
+	 * @param send the send
+	 * @return whether it is
+	 */
+	boolean isNext(ServerSend send) {
+		return send == this.next;
+	}
+
+	/**
+	 * Return whether the request was sent to another server.
+	 * @return whether that server may have it
+	 */
+	boolean sent() {
+		return this.next != null && this.next.awaitsResponse();
+	}
+
+	/**
+	 * Make the send to the other server the only one.
+	 * @return that send
+	 */
+	ServerSend complete() {
+		ServerSend other = this.next;
+		this.next = null;
+		return other;
+	}
+
+	/**
+	 * Record that the other server does not run the request or has failed.
+	 * @param result how its send ended
+	 */
+	void failed(SendResult result) {
+		this.avoided.add(this.next.serverId());
+		this.policy.after(result, true);
+		this.next.end();
+		this.next = null;
 	}
 
 	/**
-	 * Stop connecting another server, because the silent send has ended.
+	 * End the send to the other server, because the silent one goes on or has ended.
 	 */
 	void cancel() {
-		if (this.next != null) {
-			this.next.end();
-			this.next = null;
+		if (this.next == null) {
+			return;
 		}
+		if (this.next.awaitsResponse()) {
+			this.policy.after(SendResult.SILENT, true);
+		}
+		else {
+			this.context.budgets().returnRetry(this.admitted.service());
+		}
+		this.next.cancel();
+		this.next = null;
+	}
+
+	/**
+	 * The request that is taken over.
+	 */
+	interface Host {
+
+		/**
+		 * Return whether another server can continue the response.
+		 * @return whether it can
+		 */
+		boolean continuable();
+
+		/**
+		 * Send the request to another server.
+		 * @param send the send
+		 * @param channel the connection
+		 */
+		void transmit(ServerSend send, ServerChannel channel);
+
+		/**
+		 * Give up the silent send for the one to the other server.
+		 */
+		void takeOver();
+
 	}
 
 }
--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/AttemptPolicyTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/AttemptPolicyTests.java
@@ -53,6 +53,26 @@
 		assertEquals(policy.after(SendResult.BROKEN, false), Decision.FAIL);
 	}
 
+	@Test
+	public void silentSendIsTakenOverOnlyIfTheRequestMayRunOnceMore() {
+		assertFalse(new AttemptPolicy(route(RouteKind.NON_IDEMPOTENT, false)).allowsAnotherRun());
+		assertFalse(new AttemptPolicy(route(RouteKind.STREAMING, false)).allowsAnotherRun());
+		AttemptPolicy policy = new AttemptPolicy(route(RouteKind.STREAMING, true));
+		assertTrue(policy.allowsAnotherRun());
+		policy.after(SendResult.BROKEN, true);
+		assertFalse(policy.allowsAnotherRun());
+	}
+
+	@Test
+	public void silentSendIsNotTakenOverAfterManyRejections() {
+		AttemptPolicy policy = new AttemptPolicy(route(RouteKind.IDEMPOTENT, false));
+		for (int i = 0; i < 4; i++) {
+			assertTrue(policy.allowsAnotherRun());
+			policy.after(SendResult.REJECTED, true);
+		}
+		assertFalse(policy.allowsAnotherRun());
+	}
+
 	@Test
 	public void startedStreamBreaksOffUnlessItMayBeResumed() {
 		assertEquals(new AttemptPolicy(route(RouteKind.STREAMING, false)).after(SendResult.BROKEN, true),
--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/PlacementTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/PlacementTests.java
@@ -200,6 +200,21 @@
 		assertTrue(again);
 	}
 
+	/**
+	 * Requests must not go to servers that are down while those that are left are slow to
+	 * respond.
+	 */
+	@Test
+	public void serverThatRefusesConnectionsIsChosenAfterOneThatIsSilent() {
+		list("app", 2);
+		server("app0").refusedConnection(this.clock.nanoTime());
+		server("app1").started(List.of());
+		server("app1").failedToReach(this.clock.nanoTime());
+		for (int i = 0; i < 20; i++) {
+			assertEquals(choose("app", plain("t" + i)), "app1");
+		}
+	}
+
 	@Test
 	public void plainRequestsGoToTheServerWithTheFewestRequestsOfAllRouters() {
 		list("app", 3);
