Do not count a server as crashed because a connection times out

Requests that were at a silent server were recorded as having crashed it, here and at the other routers, and refused after three such records.

Cause: a connection that was not accepted within 600 ms counted like one that is refused. A network that is silent for a second, or an event loop that is busy for longer than the limit, has the same effect.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/CrashCheck.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/CrashCheck.java
@@ -79,7 +79,7 @@
 				this.context.channels().release(channel);
 				this.context.suspects().lives(lifetime);
 			});
-			if (result.isLeft() && result.getLeft().unreachable()) {
+			if (result.isLeft() && result.getLeft().refused()) {
 				this.context.suspects().lifetimeEnded(lifetime);
 			}
 		});
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/CrashHistory.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/CrashHistory.java
@@ -91,7 +91,7 @@
 	 * @param server the server
 	 */
 	void notConnected(ServerChannels.Unavailable cause, ServerState server) {
-		if (cause.unreachable()) {
+		if (cause.refused()) {
 			this.suspects.lifetimeEnded(server.observedLifetime());
 		}
 	}
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannels.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannels.java
@@ -14,6 +14,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -114,8 +115,7 @@
 		connect(server, handler).addListener((ChannelFuture connected) -> {
 			if (!connected.isSuccess()) {
 				pool.open--;
-				server.refusedConnection(now());
-				action.accept(Either.left(new Unavailable(true, "cannot connect: " + connected.cause().getMessage())));
+				action.accept(Either.left(notConnected(server, connected.cause())));
 				return;
 			}
 			server.acceptedConnection();
@@ -123,6 +123,19 @@
 		});
 	}
 
+	// A server that does not accept in time may be sound: its network or this router's
+	// event loop may be late.
+	private Unavailable notConnected(ServerState server, Throwable cause) {
+		boolean refused = !(cause instanceof ConnectTimeoutException);
+		if (refused) {
+			server.refusedConnection(now());
+		}
+		else {
+			server.failedToReach(now());
+		}
+		return new Unavailable(refused, "cannot connect: " + cause.getMessage());
+	}
+
 	private ChannelFuture connect(ServerState server, ServerChannel handler) {
 		return new Bootstrap().group(this.loop)
 			.channel(NioSocketChannel.class)
@@ -202,10 +215,10 @@
 	/**
 	 * Why there is no connection.
 	 *
-	 * @param unreachable whether the server did not accept one
+	 * @param refused whether the server refused one, which shows that it is down
 	 * @param reason the cause, for the log
 	 */
-	record Unavailable(boolean unreachable, String reason) {
+	record Unavailable(boolean refused, String reason) {
 	}
 
 	private static final class Pool {
--- a/server/src/test/java/org/acaciamux/internal/transport/http/direct/ServerChannelsTests.java
+++ b/server/src/test/java/org/acaciamux/internal/transport/http/direct/ServerChannelsTests.java
@@ -104,7 +104,7 @@
 
 	private static void assertLeft(Either<ServerChannels.Unavailable, ServerChannel> result) {
 		assertTrue(result.isLeft());
-		assertFalse(result.getLeft().unreachable(), "a server that leaves is no unreachable one");
+		assertFalse(result.getLeft().refused(), "a server that leaves is no unreachable one");
 	}
 
 }
