Read what callers still send before closing their connection

Callers that were still sending when the router refused their request (400, 413, 431) sometimes got a broken pipe instead of the refusal.

Cause: DirectCaller closed the connection as soon as the last response was written. A close over unread bytes resets the connection, and the reset may overtake a response that the caller has not read. Change: LingeringClose ends the output and discards input until the caller closes, for 2 s at most, after refusals and after each response that announces the close. CallerConnection has done the same since its refusals; it can use the class.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
@@ -6,7 +6,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.TooLongFrameException;
@@ -27,6 +26,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 
+import org.acaciamux.internal.transport.http.LingeringClose;
 import org.acaciamux.internal.transport.http.ResetOnClose;
 
 /**
@@ -184,7 +184,7 @@
 		DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
 				Unpooled.EMPTY_BUFFER);
 		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0).set(HttpHeaderNames.CONNECTION, "close");
-		this.channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+		this.channel.writeAndFlush(response).addListener((written) -> LingeringClose.start(this.channel));
 	}
 
 	/**
@@ -198,9 +198,7 @@
 		response.headers().set(headers);
 		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
 		boolean last = markIfLast(response);
-		this.channel.writeAndFlush(response).addListener(last ? ChannelFutureListener.CLOSE : (future) -> {
-		});
-		finished(last);
+		finish(response, last);
 	}
 
 	/**
@@ -241,13 +239,7 @@
 
 	void endStream() {
 		boolean last = !this.keepAlive || this.context.draining();
-		this.channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener((future) -> {
-			if (last) {
-				ResetOnClose.disable(this.channel);
-				this.channel.close();
-			}
-		});
-		finished(last);
+		finish(LastHttpContent.EMPTY_LAST_CONTENT, last);
 	}
 
 	/**
@@ -268,6 +260,16 @@
 		return last;
 	}
 
+	private void finish(HttpObject end, boolean last) {
+		this.channel.writeAndFlush(end).addListener((written) -> {
+			if (last && this.channel.isActive()) {
+				ResetOnClose.disable(this.channel);
+				LingeringClose.start(this.channel);
+			}
+		});
+		finished(last);
+	}
+
 	private void finished(boolean last) {
 		this.exchange = null;
 		this.idleSince = this.context.now();
