Answer the requests that were read ahead before a drain closes

A caller that had sent two requests in one packet, or the second one while the first was served, got no answer to the second if a drain began meanwhile: the first response announced the close and the rest was dropped.

Cause: DirectCaller took each response in a drain for the last one, whatever had been read behind it. Change: a response in a drain announces the close only if nothing of a next request has arrived. CallerDecoder tells whether bytes await the rest of a head. After a "Connection: close" of the caller itself nothing more is answered.

--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/CallerDecoder.java
@@ -0,0 +1,52 @@
+package org.acaciamux.internal.transport.http.direct;
+
+import java.util.List;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+
+/**
+ * Decodes the requests of a caller. Invariants: a request with both a content length and
+ * a transfer encoding keeps both, so that it can be refused; line ends between requests
+ * are no input. Confined to the event loop.
+ */
+final class CallerDecoder extends HttpRequestDecoder {
+
+	private boolean headStarted;
+
+	CallerDecoder(HttpDecoderConfig config) {
+		super(config);
+	}
+
+	/**
+	 * Return whether bytes have arrived that have not been passed on yet, such as a part
+	 * of the headers of the next request.
+	 * @return whether there are any
+	 */
+	boolean hasInput() {
+		return this.headStarted || actualReadableBytes() > 0;
+	}
+
+	@Override
+	protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out) throws Exception {
+		super.decode(ctx, buffer, out);
+		if (!out.isEmpty()) {
+			this.headStarted = false;
+		}
+	}
+
+	@Override
+	protected HttpMessage createMessage(String[] initialLine) throws Exception {
+		this.headStarted = true;
+		return super.createMessage(initialLine);
+	}
+
+	@Override
+	protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+		// Keeps both headers; RequestFraming refuses the request.
+	}
+
+}
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
@@ -31,9 +31,10 @@
 
 /**
  * One connection of a caller. Invariants: requests are answered one at a time in the
- * order received; an incomplete response ends by closing the connection, or by resetting
- * it if it has no chunks, so that it never looks complete; when the caller closes its
- * connection, the current request is cancelled. Confined to the event loop.
+ * order received; in a drain, those that have arrived before a response are answered
+ * before the connection closes; an incomplete response ends by closing the connection, or
+ * by resetting it if it has no chunks, so that it never looks complete; when the caller
+ * closes its connection, the current request is cancelled. Confined to the event loop.
  */
 final class DirectCaller extends ChannelInboundHandlerAdapter {
 
@@ -49,6 +50,8 @@
 
 	private final DirectFrontend frontend;
 
+	private final CallerDecoder decoder;
+
 	private final Deque<HttpObject> readAhead = new ArrayDeque<>();
 
 	private Channel channel;
@@ -71,9 +74,10 @@
 
 	private long idleSince;
 
-	DirectCaller(DirectContext context, DirectFrontend frontend) {
+	DirectCaller(DirectContext context, DirectFrontend frontend, CallerDecoder decoder) {
 		this.context = context;
 		this.frontend = frontend;
+		this.decoder = decoder;
 	}
 
 	@Override
@@ -252,7 +256,8 @@
 	}
 
 	private boolean markIfLast(HttpResponse response) {
-		boolean last = !this.keepAlive || this.context.draining();
+		boolean unanswered = this.decoder.hasInput() || !this.readAhead.isEmpty();
+		boolean last = !this.keepAlive || this.context.draining() && !unanswered;
 		if (last) {
 			this.keepAlive = false;
 			response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -281,7 +286,7 @@
 		while (this.exchange == null && !this.closing && !this.readAhead.isEmpty()) {
 			read(this.readAhead.poll());
 		}
-		this.channel.config().setAutoRead(true);
+		this.channel.config().setAutoRead(this.closing || this.readAhead.size() < MAX_READ_AHEAD);
 	}
 
 	/**
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectFrontend.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectFrontend.java
@@ -15,8 +15,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpMessage;
-import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 
@@ -85,11 +83,12 @@
 	}
 
 	private void accept(SocketChannel channel) {
-		DirectCaller caller = new DirectCaller(this.context, this);
-		this.callers.add(caller);
 		HttpDecoderConfig config = new HttpDecoderConfig().setMaxInitialLineLength(MAX_LINE_BYTES)
 			.setMaxHeaderSize(limits().headerBytes());
-		channel.pipeline().addLast(arrivalRecorder(caller), new StrictDecoder(config), responseEncoder(caller), caller);
+		CallerDecoder decoder = new CallerDecoder(config);
+		DirectCaller caller = new DirectCaller(this.context, this, decoder);
+		this.callers.add(caller);
+		channel.pipeline().addLast(arrivalRecorder(caller), decoder, responseEncoder(caller), caller);
 	}
 
 	private static ChannelHandler responseEncoder(DirectCaller caller) {
@@ -142,21 +141,4 @@
 		return this.callers.size();
 	}
 
-	/**
-	 * Decoder that keeps both the content length and the transfer encoding of a request,
-	 * so that requests with both can be refused.
-	 */
-	private static final class StrictDecoder extends HttpRequestDecoder {
-
-		StrictDecoder(HttpDecoderConfig config) {
-			super(config);
-		}
-
-		@Override
-		protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-			// Keeps both headers; RequestFraming refuses the request.
-		}
-
-	}
-
 }
