Keep the connection of a stream that ends in a drain

A caller whose stream had begun before a drain and ended in it found its connection closed, although the head of the stream had not announced it, and lost the next request that it sent on it.

Cause: DirectCaller#endStream closed in a drain, whatever the head had said. Change: the connection stays open as an idle one. The next response announces the close; without one it closes when the router stops accepting. Measured over loopback: on the code before, the next request got "[closed]"; now it is answered with "Connection: close", and the drain ends.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
@@ -242,8 +242,7 @@
 	}
 
 	void endStream() {
-		boolean last = !this.keepAlive || this.context.draining();
-		finish(LastHttpContent.EMPTY_LAST_CONTENT, last);
+		finish(LastHttpContent.EMPTY_LAST_CONTENT, !this.keepAlive);
 	}
 
 	/**
