Measure the time limits of callers by what is really awaited

Callers that sent a line end after a request got 408 instead of their next response. A head that began behind another request and never ended closed its connection without an answer after the idle time, and a body that never came kept its connection for ever.

Cause: any byte started the time of the headers; the end of a response stopped it although a part of the next head had arrived; nothing limited the time of a body. Change: CallerWait holds what is awaited (a request, its headers, its body) and since when, from what CallerDecoder has parsed. A body without bytes for the idle time gets 408, which promises that the request did not run. Measured over loopback on the code before: 408 for the line end; "[closed]" after 15.5 s for the head; no answer within 20 s for the body. All three pass now, and idle connections still close after the idle time and in a drain.

--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/CallerWait.java
@@ -0,0 +1,92 @@
+package org.acaciamux.internal.transport.http.direct;
+
+import java.util.Optional;
+
+/**
+ * What the router awaits from a caller's connection that serves no request, and since
+ * when. Invariant: only what has been read counts, so a time limit that has passed is to
+ * be checked again after the connection could be read. Confined to the event loop.
+ */
+final class CallerWait {
+
+	private static final long NANOS_PER_MS = 1_000_000;
+
+	private Awaited awaited = Awaited.REQUEST;
+
+	private long since;
+
+	/**
+	 * Record that the connection is open or that a response has ended.
+	 * @param now the monotonic time in nanoseconds
+	 * @param hasInput whether a part of the next request has arrived
+	 */
+	void begin(long now, boolean hasInput) {
+		this.awaited = hasInput ? Awaited.HEADERS : Awaited.REQUEST;
+		this.since = now;
+	}
+
+	/**
+	 * Record that the head of a request is complete.
+	 * @param now the monotonic time in nanoseconds
+	 */
+	void headComplete(long now) {
+		this.awaited = Awaited.BODY;
+		this.since = now;
+	}
+
+	/**
+	 * Record that bytes were read.
+	 * @param now the monotonic time in nanoseconds
+	 * @param hasInput whether some of them await the rest of the headers
+	 */
+	void read(long now, boolean hasInput) {
+		if (this.awaited == Awaited.BODY) {
+			this.since = now;
+			return;
+		}
+		if (hasInput != (this.awaited == Awaited.HEADERS)) {
+			begin(now, hasInput);
+		}
+	}
+
+	boolean forRequest() {
+		return this.awaited == Awaited.REQUEST;
+	}
+
+	long ms(long now) {
+		return (now - this.since) / NANOS_PER_MS;
+	}
+
+	/**
+	 * Return what has not arrived within its time limit.
+	 * @param now the monotonic time in nanoseconds
+	 * @param headerTimeoutMs longest time for the headers of a request, in milliseconds
+	 * @param idleTimeoutMs longest time without bytes otherwise, in milliseconds
+	 * @return what is overdue, empty if nothing is
+	 */
+	Optional<Awaited> overdue(long now, long headerTimeoutMs, long idleTimeoutMs) {
+		boolean late = ms(now) > this.awaited.limitMs(headerTimeoutMs, idleTimeoutMs);
+		return late ? Optional.of(this.awaited) : Optional.empty();
+	}
+
+	/**
+	 * What a caller sends next.
+	 */
+	enum Awaited {
+
+		/** The first bytes of a request. */
+		REQUEST,
+
+		/** The rest of its headers. */
+		HEADERS,
+
+		/** The rest of its body. */
+		BODY;
+
+		private long limitMs(long headerTimeoutMs, long idleTimeoutMs) {
+			return (this == HEADERS) ? headerTimeoutMs : idleTimeoutMs;
+		}
+
+	}
+
+}
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -44,7 +45,7 @@
 	 */
 	private static final int MAX_READ_AHEAD = 64;
 
-	private static final long NANOS_PER_MS = 1_000_000;
+	private final CallerWait wait = new CallerWait();
 
 	private final DirectContext context;
 
@@ -70,10 +71,6 @@
 
 	private boolean closing;
 
-	private long headerSince;
-
-	private long idleSince;
-
 	DirectCaller(DirectContext context, DirectFrontend frontend, CallerDecoder decoder) {
 		this.context = context;
 		this.frontend = frontend;
@@ -83,15 +80,15 @@
 	@Override
 	public void handlerAdded(ChannelHandlerContext ctx) {
 		this.channel = ctx.channel();
-		this.idleSince = this.context.now();
+		this.wait.begin(this.context.now(), false);
 	}
 
 	/**
-	 * Record that bytes arrived, before they are parsed.
+	 * Record that bytes were read, after they have been parsed.
 	 */
-	void bytesArrived() {
-		if (this.exchange == null && this.head == null && this.headerSince == 0) {
-			this.headerSince = this.context.now();
+	void bytesRead() {
+		if (this.exchange == null) {
+			this.wait.read(this.context.now(), this.decoder.hasInput());
 		}
 	}
 
@@ -137,7 +134,7 @@
 
 	private void begin(HttpRequest request) {
 		this.head = request;
-		this.headerSince = 0;
+		this.wait.headComplete(this.context.now());
 		this.keepAlive = HttpUtil.isKeepAlive(request);
 		this.headRequested = request.method().equals(HttpMethod.HEAD);
 		this.supportsChunks = request.protocolVersion().equals(HttpVersion.HTTP_1_1);
@@ -276,8 +273,7 @@
 
 	private void finished(boolean last) {
 		this.exchange = null;
-		this.idleSince = this.context.now();
-		this.headerSince = 0;
+		this.wait.begin(this.context.now(), this.decoder.hasInput());
 		if (last) {
 			this.closing = true;
 			return;
@@ -290,26 +286,30 @@
 
 	/**
 	 * Check the time limits of a connection that serves no request.
-	 * @param now the monotonic time in nanoseconds
 	 * @param headerTimeoutMs longest time for the headers of a request, in milliseconds
-	 * @param idleTimeoutMs longest time between requests, in milliseconds
+	 * @param idleTimeoutMs longest time without bytes otherwise, in milliseconds
 	 */
-	void tick(long now, long headerTimeoutMs, long idleTimeoutMs) {
+	void tick(long headerTimeoutMs, long idleTimeoutMs) {
+		overdue(headerTimeoutMs, idleTimeoutMs).ifPresent(this::timedOut);
+	}
+
+	private Optional<CallerWait.Awaited> overdue(long headerTimeoutMs, long idleTimeoutMs) {
 		if (this.exchange != null || this.closing) {
-			return;
+			return Optional.empty();
 		}
-		boolean slowHeader = this.headerSince != 0 && (now - this.headerSince) / NANOS_PER_MS > headerTimeoutMs;
-		if (slowHeader) {
-			refuseAndClose(HttpResponseStatus.REQUEST_TIMEOUT, "the headers took over " + headerTimeoutMs + " ms");
-			return;
-		}
-		if (idle() && (now - this.idleSince) / NANOS_PER_MS > idleTimeoutMs) {
-			this.channel.close();
+		return this.wait.overdue(this.context.now(), headerTimeoutMs, idleTimeoutMs);
+	}
+
+	private void timedOut(CallerWait.Awaited missing) {
+		switch (missing) {
+			case HEADERS -> refuseAndClose(HttpResponseStatus.REQUEST_TIMEOUT, "the headers took too long");
+			case BODY -> refuseAndClose(HttpResponseStatus.REQUEST_TIMEOUT, "the rest of the body does not come");
+			default -> this.channel.close();
 		}
 	}
 
-	boolean idle() {
-		return this.exchange == null && this.head == null && this.headerSince == 0;
+	private boolean idle() {
+		return this.exchange == null && !this.closing && this.wait.forRequest();
 	}
 
 	void closeIfIdle() {
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectFrontend.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectFrontend.java
@@ -88,7 +88,7 @@
 		CallerDecoder decoder = new CallerDecoder(config);
 		DirectCaller caller = new DirectCaller(this.context, this, decoder);
 		this.callers.add(caller);
-		channel.pipeline().addLast(arrivalRecorder(caller), decoder, responseEncoder(caller), caller);
+		channel.pipeline().addLast(readRecorder(caller), decoder, responseEncoder(caller), caller);
 	}
 
 	private static ChannelHandler responseEncoder(DirectCaller caller) {
@@ -100,12 +100,12 @@
 		};
 	}
 
-	private static ChannelHandler arrivalRecorder(DirectCaller caller) {
+	private static ChannelHandler readRecorder(DirectCaller caller) {
 		return new ChannelInboundHandlerAdapter() {
 			@Override
 			public void channelRead(ChannelHandlerContext ctx, Object message) {
-				caller.bytesArrived();
 				ctx.fireChannelRead(message);
+				caller.bytesRead();
 			}
 		};
 	}
@@ -127,9 +127,8 @@
 	 */
 	public void tick() {
 		RequestLimits limits = limits();
-		long now = this.context.now();
 		for (DirectCaller caller : this.callers.toArray(DirectCaller[]::new)) {
-			caller.tick(now, limits.headerTimeoutMs(), limits.idleTimeoutMs());
+			caller.tick(limits.headerTimeoutMs(), limits.idleTimeoutMs());
 		}
 	}
 
