Read a connection once more before closing it as idle

A request that arrived while the event loop was busy got neither an answer nor a refusal if the check of idle connections, or the end of a drain, came before the next read.

Cause: the checks run among the tasks of the event loop and know only what has been read. If a task before them takes long, such as a change of the configuration, what has arrived meanwhile is unread, and the close drops it. Change: a check decides, and the connection closes 20 ms later if the decision still holds. The event loop reads all connections between two rounds of scheduled tasks. The same goes for the time limits of headers and bodies.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -45,6 +46,13 @@
 	 */
 	private static final int MAX_READ_AHEAD = 64;
 
+	/**
+	 * Time in milliseconds until a time limit that has passed is checked again. The event
+	 * loop reads all connections in between, so that a request that has arrived while it
+	 * was busy is served.
+	 */
+	private static final long READ_OPPORTUNITY_MS = 20;
+
 	private final CallerWait wait = new CallerWait();
 
 	private final DirectContext context;
@@ -290,7 +298,9 @@
 	 * @param idleTimeoutMs longest time without bytes otherwise, in milliseconds
 	 */
 	void tick(long headerTimeoutMs, long idleTimeoutMs) {
-		overdue(headerTimeoutMs, idleTimeoutMs).ifPresent(this::timedOut);
+		if (overdue(headerTimeoutMs, idleTimeoutMs).isPresent()) {
+			afterReading(() -> overdue(headerTimeoutMs, idleTimeoutMs).ifPresent(this::timedOut));
+		}
 	}
 
 	private Optional<CallerWait.Awaited> overdue(long headerTimeoutMs, long idleTimeoutMs) {
@@ -308,14 +318,23 @@
 		}
 	}
 
+	private void afterReading(Runnable action) {
+		this.context.loop().schedule(action, READ_OPPORTUNITY_MS, TimeUnit.MILLISECONDS);
+	}
+
 	private boolean idle() {
 		return this.exchange == null && !this.closing && this.wait.forRequest();
 	}
 
 	void closeIfIdle() {
-		if (idle()) {
-			this.channel.close();
+		if (!idle()) {
+			return;
 		}
+		afterReading(() -> {
+			if (idle()) {
+				this.channel.close();
+			}
+		});
 	}
 
 	@Override
