Bring a lowered idle time into force after the former one

A caller that reused a connection within the idle time it knew lost its request when a version had lowered the limit.

Cause: the check applied the limit of the newest version at once, also to connections that were idle since before. Change: a lowered limit comes into force when the former one has passed since the last lowering; a raised one at once. Ruled out by reasoning, without a run: the limit at the time of the last response for each connection, which fails for callers that hear of the version after the router.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectFrontend.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectFrontend.java
@@ -40,6 +40,8 @@
 
 	private final Set<DirectCaller> callers = new HashSet<>();
 
+	private final IdleLimit idleLimit = new IdleLimit();
+
 	private Channel listener;
 
 	/**
@@ -127,8 +129,11 @@
 	 */
 	public void tick() {
 		RequestLimits limits = limits();
+		// The default limits are not told to callers.
+		long idleMs = this.context.config().isEmpty() ? limits.idleTimeoutMs()
+				: this.idleLimit.inForceMs(limits.idleTimeoutMs(), this.context.now());
 		for (DirectCaller caller : this.callers.toArray(DirectCaller[]::new)) {
-			caller.tick(limits.headerTimeoutMs(), limits.idleTimeoutMs());
+			caller.tick(limits.headerTimeoutMs(), idleMs);
 		}
 	}
 
