Log and count the connections of callers that the router ends

When the router ended a caller's connection without announcing it, or a handler failed, nothing told the cause or what had been read and was dropped.

Change: CallerEnds counts each end by cause (acaciamux.direct.caller-closed.<cause>) and logs "event=caller-closed" with the idle time, the number of messages read ahead and the reason, at most 10 lines per second; idle connections without such messages are only counted. exceptionCaught logs its cause. Refusals have their line event=request-invalid as before. The bound of 10 lines per second has no test.

--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/CallerEnds.java
@@ -0,0 +1,77 @@
+package org.acaciamux.internal.transport.http.direct;
+
+/**
+ * Counts and logs the connections of callers that the router ends without having
+ * announced it in a response. Invariant: at most {@value #LINES_PER_INTERVAL} lines per
+ * second; the counters hold all of them. Confined to the event loop.
+ */
+final class CallerEnds {
+
+	private static final int LINES_PER_INTERVAL = 10;
+
+	private static final long INTERVAL_NANOS = 1_000_000_000;
+
+	private final DirectContext context;
+
+	private long intervalStart;
+
+	private int lines;
+
+	CallerEnds(DirectContext context) {
+		this.context = context;
+	}
+
+	/**
+	 * Record the end of a connection.
+	 * @param cause why the router ends it
+	 * @param idleMs time since the last bytes or response, in milliseconds
+	 * @param readAhead number of messages that were read and are dropped
+	 * @param reason the details
+	 */
+	void ended(Cause cause, long idleMs, int readAhead, String reason) {
+		this.context.metrics().callerClosed(cause.label);
+		if (cause.unused && readAhead == 0 || !mayLog(this.context.now())) {
+			return;
+		}
+		this.context.log()
+			.line("event=caller-closed cause=" + cause.label + " idleMs=" + idleMs + " readAhead=" + readAhead
+					+ " reason=\"" + reason + "\"");
+	}
+
+	private boolean mayLog(long now) {
+		if (now - this.intervalStart > INTERVAL_NANOS) {
+			this.intervalStart = now;
+			this.lines = 0;
+		}
+		return this.lines++ < LINES_PER_INTERVAL;
+	}
+
+	/**
+	 * Why the router ends a connection.
+	 */
+	enum Cause {
+
+		/** No request within the idle time. */
+		IDLE("idle", true),
+
+		/** No request, and the router stops. */
+		DRAIN("drain", true),
+
+		/** The response cannot be completed. */
+		BROKEN_OFF("broken-off", false),
+
+		/** Reading or writing failed, or a handler of the router did. */
+		FAILED("failed", false);
+
+		private final String label;
+
+		private final boolean unused;
+
+		Cause(String label, boolean unused) {
+			this.label = label;
+			this.unused = unused;
+		}
+
+	}
+
+}
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
@@ -254,8 +254,13 @@
 	 * Close the connection although the response is incomplete.
 	 */
 	void breakOff() {
-		this.closing = true;
 		this.exchange = null;
+		end(CallerEnds.Cause.BROKEN_OFF, "the response cannot be completed");
+	}
+
+	private void end(CallerEnds.Cause cause, String reason) {
+		this.closing = true;
+		this.frontend.ends().ended(cause, this.wait.ms(this.context.now()), this.readAhead.size(), reason);
 		this.channel.close();
 	}
 
@@ -314,7 +319,7 @@
 		switch (missing) {
 			case HEADERS -> refuseAndClose(HttpResponseStatus.REQUEST_TIMEOUT, "the headers took too long");
 			case BODY -> refuseAndClose(HttpResponseStatus.REQUEST_TIMEOUT, "the rest of the body does not come");
-			default -> this.channel.close();
+			default -> end(CallerEnds.Cause.IDLE, "no request within the idle time");
 		}
 	}
 
@@ -332,7 +337,7 @@
 		}
 		afterReading(() -> {
 			if (idle()) {
-				this.channel.close();
+				end(CallerEnds.Cause.DRAIN, "the router stops");
 			}
 		});
 	}
@@ -359,7 +364,11 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-		this.channel.close();
+		if (this.closing) {
+			this.channel.close();
+			return;
+		}
+		end(CallerEnds.Cause.FAILED, cause.toString());
 	}
 
 }
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectFrontend.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectFrontend.java
@@ -40,6 +40,8 @@
 
 	private final Set<DirectCaller> callers = new HashSet<>();
 
+	private final CallerEnds ends;
+
 	private final IdleLimit idleLimit = new IdleLimit();
 
 	private Channel listener;
@@ -50,6 +52,7 @@
 	 */
 	public DirectFrontend(DirectContext context) {
 		this.context = context;
+		this.ends = new CallerEnds(context);
 	}
 
 	/**
@@ -120,6 +123,10 @@
 		return limits().bodyBytes();
 	}
 
+	CallerEnds ends() {
+		return this.ends;
+	}
+
 	void closed(DirectCaller caller) {
 		this.callers.remove(caller);
 	}
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectMetrics.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectMetrics.java
@@ -88,6 +88,10 @@
 		this.registry.counter(PREFIX + "crash." + change.label()).inc();
 	}
 
+	void callerClosed(String cause) {
+		this.registry.counter(PREFIX + "caller-closed." + cause).inc();
+	}
+
 	/**
 	 * Count what a message to the other routers leaves out because it is too long.
 	 * @param entries the number of entries
