--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/Placement.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/Placement.java
@@ -122,7 +122,7 @@
 			cost += candidates.contains(server, request) ? 0 : Penalty.NOT_CANDIDATE.ms;
 			cost += (server.load(now) >= server.entry().slots()) ? Penalty.NO_FREE_SLOT.ms : 0;
 			cost += server.suspect(now) ? Penalty.SUSPECT.ms : 0;
-			cost += server.suspect(now) && server.refusing() ? Penalty.REFUSING.ms : 0;
+			cost += (server.suspect(now) && server.refusing()) ? Penalty.REFUSING.ms : 0;
 			if (best == null || cost < bestCost) {
 				best = server;
 				bestCost = cost;
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
@@ -2,11 +2,12 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.TooLongFrameException;
@@ -27,13 +28,15 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 
+import org.acaciamux.internal.transport.http.LingeringClose;
 import org.acaciamux.internal.transport.http.ResetOnClose;
 
 /**
  * One connection of a caller. Invariants: requests are answered one at a time in the
- * order received; an incomplete response ends by closing the connection, or by resetting
- * it if it has no chunks, so that it never looks complete; when the caller closes its
- * connection, the current request is cancelled. Confined to the event loop.
+ * order received; in a drain, those that have arrived before a response are answered
+ * before the connection closes; an incomplete response ends by closing the connection, or
+ * by resetting it if it has no chunks, so that it never looks complete; when the caller
+ * closes its connection, the current request is cancelled. Confined to the event loop.
  */
 final class DirectCaller extends ChannelInboundHandlerAdapter {
 
@@ -43,12 +46,21 @@
 	 */
 	private static final int MAX_READ_AHEAD = 64;
 
-	private static final long NANOS_PER_MS = 1_000_000;
+	/**
+	 * Time in milliseconds until a time limit that has passed is checked again. The event
+	 * loop reads all connections in between, so that a request that has arrived while it
+	 * was busy is served.
+	 */
+	private static final long READ_OPPORTUNITY_MS = 20;
+
+	private final CallerWait wait = new CallerWait();
 
 	private final DirectContext context;
 
 	private final DirectFrontend frontend;
 
+	private final CallerDecoder decoder;
+
 	private final Deque<HttpObject> readAhead = new ArrayDeque<>();
 
 	private Channel channel;
@@ -67,27 +79,24 @@
 
 	private boolean closing;
 
-	private long headerSince;
-
-	private long idleSince;
-
-	DirectCaller(DirectContext context, DirectFrontend frontend) {
+	DirectCaller(DirectContext context, DirectFrontend frontend, CallerDecoder decoder) {
 		this.context = context;
 		this.frontend = frontend;
+		this.decoder = decoder;
 	}
 
 	@Override
 	public void handlerAdded(ChannelHandlerContext ctx) {
 		this.channel = ctx.channel();
-		this.idleSince = this.context.now();
+		this.wait.begin(this.context.now(), false);
 	}
 
 	/**
-	 * Record that bytes arrived, before they are parsed.
+	 * Record that bytes were read, after they have been parsed.
 	 */
-	void bytesArrived() {
-		if (this.exchange == null && this.head == null && this.headerSince == 0) {
-			this.headerSince = this.context.now();
+	void bytesRead() {
+		if (this.exchange == null) {
+			this.wait.read(this.context.now(), this.decoder.hasInput());
 		}
 	}
 
@@ -133,7 +142,7 @@
 
 	private void begin(HttpRequest request) {
 		this.head = request;
-		this.headerSince = 0;
+		this.wait.headComplete(this.context.now());
 		this.keepAlive = HttpUtil.isKeepAlive(request);
 		this.headRequested = request.method().equals(HttpMethod.HEAD);
 		this.supportsChunks = request.protocolVersion().equals(HttpVersion.HTTP_1_1);
@@ -184,7 +193,7 @@
 		DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
 				Unpooled.EMPTY_BUFFER);
 		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0).set(HttpHeaderNames.CONNECTION, "close");
-		this.channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+		this.channel.writeAndFlush(response).addListener((written) -> LingeringClose.start(this.channel));
 	}
 
 	/**
@@ -198,9 +207,7 @@
 		response.headers().set(headers);
 		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
 		boolean last = markIfLast(response);
-		this.channel.writeAndFlush(response).addListener(last ? ChannelFutureListener.CLOSE : (future) -> {
-		});
-		finished(last);
+		finish(response, last);
 	}
 
 	/**
@@ -240,27 +247,26 @@
 	}
 
 	void endStream() {
-		boolean last = !this.keepAlive || this.context.draining();
-		this.channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener((future) -> {
-			if (last) {
-				ResetOnClose.disable(this.channel);
-				this.channel.close();
-			}
-		});
-		finished(last);
+		finish(LastHttpContent.EMPTY_LAST_CONTENT, !this.keepAlive);
 	}
 
 	/**
 	 * Close the connection although the response is incomplete.
 	 */
 	void breakOff() {
-		this.closing = true;
 		this.exchange = null;
+		end(CallerEnds.Cause.BROKEN_OFF, "the response cannot be completed");
+	}
+
+	private void end(CallerEnds.Cause cause, String reason) {
+		this.closing = true;
+		this.frontend.ends().ended(cause, this.wait.ms(this.context.now()), this.readAhead.size(), reason);
 		this.channel.close();
 	}
 
 	private boolean markIfLast(HttpResponse response) {
-		boolean last = !this.keepAlive || this.context.draining();
+		boolean unanswered = this.decoder.hasInput() || !this.readAhead.isEmpty();
+		boolean last = !this.keepAlive || this.context.draining() && !unanswered;
 		if (last) {
 			this.keepAlive = false;
 			response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -268,10 +274,19 @@
 		return last;
 	}
 
+	private void finish(HttpObject end, boolean last) {
+		this.channel.writeAndFlush(end).addListener((written) -> {
+			if (last && this.channel.isActive()) {
+				ResetOnClose.disable(this.channel);
+				LingeringClose.start(this.channel);
+			}
+		});
+		finished(last);
+	}
+
 	private void finished(boolean last) {
 		this.exchange = null;
-		this.idleSince = this.context.now();
-		this.headerSince = 0;
+		this.wait.begin(this.context.now(), this.decoder.hasInput());
 		if (last) {
 			this.closing = true;
 			return;
@@ -279,37 +294,52 @@
 		while (this.exchange == null && !this.closing && !this.readAhead.isEmpty()) {
 			read(this.readAhead.poll());
 		}
-		this.channel.config().setAutoRead(true);
+		this.channel.config().setAutoRead(this.closing || this.readAhead.size() < MAX_READ_AHEAD);
 	}
 
 	/**
 	 * Check the time limits of a connection that serves no request.
-	 * @param now the monotonic time in nanoseconds
 	 * @param headerTimeoutMs longest time for the headers of a request, in milliseconds
-	 * @param idleTimeoutMs longest time between requests, in milliseconds
+	 * @param idleTimeoutMs longest time without bytes otherwise, in milliseconds
 	 */
-	void tick(long now, long headerTimeoutMs, long idleTimeoutMs) {
-		if (this.exchange != null || this.closing) {
-			return;
+	void tick(long headerTimeoutMs, long idleTimeoutMs) {
+		if (overdue(headerTimeoutMs, idleTimeoutMs).isPresent()) {
+			afterReading(() -> overdue(headerTimeoutMs, idleTimeoutMs).ifPresent(this::timedOut));
 		}
-		boolean slowHeader = this.headerSince != 0 && (now - this.headerSince) / NANOS_PER_MS > headerTimeoutMs;
-		if (slowHeader) {
-			refuseAndClose(HttpResponseStatus.REQUEST_TIMEOUT, "the headers took over " + headerTimeoutMs + " ms");
-			return;
+	}
+
+	private Optional<CallerWait.Awaited> overdue(long headerTimeoutMs, long idleTimeoutMs) {
+		if (this.exchange != null || this.closing) {
+			return Optional.empty();
 		}
-		if (idle() && (now - this.idleSince) / NANOS_PER_MS > idleTimeoutMs) {
-			this.channel.close();
+		return this.wait.overdue(this.context.now(), headerTimeoutMs, idleTimeoutMs);
+	}
+
+	private void timedOut(CallerWait.Awaited missing) {
+		switch (missing) {
+			case HEADERS -> refuseAndClose(HttpResponseStatus.REQUEST_TIMEOUT, "the headers took too long");
+			case BODY -> refuseAndClose(HttpResponseStatus.REQUEST_TIMEOUT, "the rest of the body does not come");
+			default -> end(CallerEnds.Cause.IDLE, "no request within the idle time");
 		}
 	}
 
-	boolean idle() {
-		return this.exchange == null && this.head == null && this.headerSince == 0;
+	private void afterReading(Runnable action) {
+		this.context.loop().schedule(action, READ_OPPORTUNITY_MS, TimeUnit.MILLISECONDS);
+	}
+
+	private boolean idle() {
+		return this.exchange == null && !this.closing && this.wait.forRequest();
 	}
 
 	void closeIfIdle() {
-		if (idle()) {
-			this.channel.close();
+		if (!idle()) {
+			return;
 		}
+		afterReading(() -> {
+			if (idle()) {
+				end(CallerEnds.Cause.DRAIN, "the router stops");
+			}
+		});
 	}
 
 	@Override
@@ -334,7 +364,11 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-		this.channel.close();
+		if (this.closing) {
+			this.channel.close();
+			return;
+		}
+		end(CallerEnds.Cause.FAILED, cause.toString());
 	}
 
 }
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectFrontend.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectFrontend.java
@@ -15,8 +15,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpMessage;
-import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 
@@ -42,6 +40,10 @@
 
 	private final Set<DirectCaller> callers = new HashSet<>();
 
+	private final CallerEnds ends;
+
+	private final IdleLimit idleLimit = new IdleLimit();
+
 	private Channel listener;
 
 	/**
@@ -50,6 +52,7 @@
 	 */
 	public DirectFrontend(DirectContext context) {
 		this.context = context;
+		this.ends = new CallerEnds(context);
 	}
 
 	/**
@@ -85,11 +88,12 @@
 	}
 
 	private void accept(SocketChannel channel) {
-		DirectCaller caller = new DirectCaller(this.context, this);
-		this.callers.add(caller);
 		HttpDecoderConfig config = new HttpDecoderConfig().setMaxInitialLineLength(MAX_LINE_BYTES)
 			.setMaxHeaderSize(limits().headerBytes());
-		channel.pipeline().addLast(arrivalRecorder(caller), new StrictDecoder(config), responseEncoder(caller), caller);
+		CallerDecoder decoder = new CallerDecoder(config);
+		DirectCaller caller = new DirectCaller(this.context, this, decoder);
+		this.callers.add(caller);
+		channel.pipeline().addLast(readRecorder(caller), decoder, responseEncoder(caller), caller);
 	}
 
 	private static ChannelHandler responseEncoder(DirectCaller caller) {
@@ -101,12 +105,12 @@
 		};
 	}
 
-	private static ChannelHandler arrivalRecorder(DirectCaller caller) {
+	private static ChannelHandler readRecorder(DirectCaller caller) {
 		return new ChannelInboundHandlerAdapter() {
 			@Override
 			public void channelRead(ChannelHandlerContext ctx, Object message) {
-				caller.bytesArrived();
 				ctx.fireChannelRead(message);
+				caller.bytesRead();
 			}
 		};
 	}
@@ -119,6 +123,10 @@
 		return limits().bodyBytes();
 	}
 
+	CallerEnds ends() {
+		return this.ends;
+	}
+
 	void closed(DirectCaller caller) {
 		this.callers.remove(caller);
 	}
@@ -128,9 +136,11 @@
 	 */
 	public void tick() {
 		RequestLimits limits = limits();
-		long now = this.context.now();
+		// The default limits are not told to callers.
+		long idleMs = this.context.config().isEmpty() ? limits.idleTimeoutMs()
+				: this.idleLimit.inForceMs(limits.idleTimeoutMs(), this.context.now());
 		for (DirectCaller caller : this.callers.toArray(DirectCaller[]::new)) {
-			caller.tick(now, limits.headerTimeoutMs(), limits.idleTimeoutMs());
+			caller.tick(limits.headerTimeoutMs(), idleMs);
 		}
 	}
 
@@ -142,21 +152,4 @@
 		return this.callers.size();
 	}
 
-	/**
-	 * Decoder that keeps both the content length and the transfer encoding of a request,
-	 * so that requests with both can be refused.
-	 */
-	private static final class StrictDecoder extends HttpRequestDecoder {
-
-		StrictDecoder(HttpDecoderConfig config) {
-			super(config);
-		}
-
-		@Override
-		protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-			// Keeps both headers; RequestFraming refuses the request.
-		}
-
-	}
-
 }
