Server that loses its entry while it serves is taken for silent

Callers saw: a request that waited over a second for its first byte was taken from its server, although other responses arrived from that server all the time. It was sent to another server, or ended with 502 or a broken stream where that is not possible. It happened when the entry of the server was removed, changed to another service, or vanished and came back.

Cause: bytes were recorded for the entry that is listed under the server's id. The request holds the state of the former entry, which got no more bytes and counted as unresponsive after 1 s. The state of an entry that came back had no requests either.

Change: the table keeps the state of a server until its requests have ended, records bytes for it, and uses it again when its entry returns.

Ruled out: the test with an unchanged entry passes before and after.

Measured: on the former code 3 of the 4 cases failed, each with "no bytes for 1004 to 1039 ms" and a second send; with the change all 4 pass.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/ServerTable.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/ServerTable.java
@@ -13,9 +13,9 @@
 
 /**
  * The backend servers of all services. Invariants: the state of a server is kept as long
- * as its entry; {@link #usable} lists no server that is removed, or that leaves according
- * to the directory, one of its responses or another router, whichever said so first.
- * Confined to the event loop.
+ * as its entry or a request at it; {@link #usable} lists no server that is removed, or
+ * that leaves according to the directory, one of its responses or another router,
+ * whichever said so first. Confined to the event loop.
  */
 public final class ServerTable {
 
@@ -23,6 +23,9 @@
 
 	private final Map<String, ServerState> servers = new HashMap<>();
 
+	/** Servers without an entry that still have requests of this router. */
+	private final Map<String, ServerState> unlisted = new HashMap<>();
+
 	private final Map<String, List<ServerState>> usable = new HashMap<>();
 
 	private final Departures departures;
@@ -64,12 +67,24 @@
 			.map(ServerState::entry)
 			.filter((entry) -> entry.startedMs() == 0 && !entries.containsKey(entry.id()))
 			.forEach((entry) -> this.departures.forget(entry.lifetime()));
+		keepUnlisted(entries);
 		this.servers.keySet().retainAll(entries.keySet());
 		entries.values().forEach(this::store);
 		index();
 		return ended;
 	}
 
+	private void keepUnlisted(Map<String, ServerEntry> entries) {
+		this.unlisted.values().removeIf((server) -> server.inFlight() == 0);
+		this.servers.forEach((id, server) -> {
+			ServerEntry next = entries.get(id);
+			boolean listed = next != null && next.service().equals(server.entry().service());
+			if (!listed && server.inFlight() > 0) {
+				this.unlisted.put(id, server);
+			}
+		});
+	}
+
 	private boolean endedWithoutNotice(ServerState server, Map<String, ServerEntry> entries) {
 		ServerEntry next = entries.get(server.entry().id());
 		return (next != null) ? server.restartsWith(next) : !leaves(server.entry());
@@ -113,9 +128,10 @@
 		if (entry.draining() && entry.startedMs() != 0) {
 			this.departures.add(entry.lifetime());
 		}
-		ServerState known = this.servers.get(entry.id());
+		ServerState known = this.servers.getOrDefault(entry.id(), this.unlisted.get(entry.id()));
 		if (known != null && known.entry().service().equals(entry.service())) {
 			known.update(entry);
+			this.servers.put(entry.id(), known);
 			return;
 		}
 		this.servers.put(entry.id(), new ServerState(entry, memoryTokens(entry.service()), this.clock.nanoTime()));
@@ -164,6 +180,16 @@
 		return Optional.ofNullable(this.servers.get(id));
 	}
 
+	/**
+	 * Record that bytes arrived from a server, which may have lost its entry.
+	 * @param id the server's id
+	 * @param now the monotonic time in nanoseconds
+	 */
+	public void received(String id, long now) {
+		find(id).ifPresent((server) -> server.received(now));
+		Optional.ofNullable(this.unlisted.get(id)).ifPresent((server) -> server.received(now));
+	}
+
 	/**
 	 * Find a server by its lifetime.
 	 * @param lifetime what {@link ServerEntry#lifetime()} returned
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannels.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannels.java
@@ -178,7 +178,7 @@
 	}
 
 	void received(String serverId) {
-		this.servers.find(serverId).ifPresent((server) -> server.received(now()));
+		this.servers.received(serverId, now());
 	}
 
 	/**
