Stream of a service that a new version removes cannot be resumed

Callers saw: a stream whose server broke off was not resumed at another server of its service, and its connection closed in the middle.

Cause: the number of connections that a server accepts comes from the configuration in force. For a service that it no longer lists the number was 1, so the router opened at most two connections to each server, while its streams there held more.

Change: a configuration takes over the services of the one before that still have usable servers. Requests that began with the earlier version use their limits; no route leads to them.

Measured: on the former code the test's caller got the first event and the end of the connection; with the change the stream is complete.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/TrafficConfig.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/TrafficConfig.java
@@ -6,16 +6,18 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /**
  * The traffic configuration that is in force: routes, services, limits and keys of one
- * version. Immutable and thread-safe.
+ * version, and services of earlier versions that still have servers. Immutable and
+ * thread-safe.
  */
 public final class TrafficConfig {
 
 	private final long version;
 
-	private final Map<String, List<ServiceRoute>> routes = new HashMap<>();
+	private final Map<String, List<ServiceRoute>> routes;
 
 	private final Map<String, ServiceSpec> services;
 
@@ -37,6 +39,7 @@
 	public TrafficConfig(long version, List<ServiceRoute> routes, Map<String, ServiceSpec> services,
 			RequestLimits limits, Map<String, Organisation> keys, boolean keysRequired) {
 		this.version = version;
+		this.routes = new HashMap<>();
 		for (ServiceRoute route : routes) {
 			this.routes.computeIfAbsent(route.host(), (host) -> new ArrayList<>()).add(route);
 		}
@@ -48,6 +51,31 @@
 		this.keysRequired = keysRequired;
 	}
 
+	private TrafficConfig(TrafficConfig other, Map<String, ServiceSpec> services) {
+		this.version = other.version;
+		this.routes = other.routes;
+		this.services = Map.copyOf(services);
+		this.limits = other.limits;
+		this.keys = other.keys;
+		this.keysRequired = other.keysRequired;
+	}
+
+	/**
+	 * Add services that only an earlier configuration lists: requests that began with it
+	 * may still be sent to them.
+	 * @param earlier the earlier configuration
+	 * @param inUse whether a service still has servers
+	 * @return this configuration with the further services
+	 */
+	public TrafficConfig withServicesOf(TrafficConfig earlier, Predicate<String> inUse) {
+		Map<String, ServiceSpec> all = new HashMap<>(this.services);
+		earlier.services.values()
+			.stream()
+			.filter((service) -> inUse.test(service.name()))
+			.forEach((service) -> all.putIfAbsent(service.name(), service));
+		return new TrafficConfig(this, all);
+	}
+
 	/**
 	 * Return the version.
 	 * @return the version
--- a/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
@@ -214,7 +214,9 @@
 	@Override
 	public void config(TrafficConfig config) {
 		this.log.line("event=config-in-force version=" + config.version());
-		this.context.config(config);
+		this.context.config(this.context.config()
+			.map((earlier) -> config.withServicesOf(earlier, (service) -> !this.servers.usable(service).isEmpty()))
+			.orElse(config));
 	}
 
 	@Override
