Keep new requests away from a silent server only beyond the goal of a route

A plain request may take seconds by its goal. While one waited for longer than a second, placement held its server for unreachable, as it did servers that had crashed, and new requests went to those.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/SilencePolicy.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/SilencePolicy.java
@@ -53,6 +53,18 @@
 		return silentMs > Math.max(STREAM_STUCK_MS, PAUSE_GOAL_MULTIPLE * route.pauseGoalMs());
 	}
 
+	/**
+	 * Decide whether new requests avoid the server of a silent send.
+	 * @param route the request's route
+	 * @param silentMs milliseconds since its last bytes
+	 * @param unresponsive whether the server is silent on all its connections
+	 * @return whether the server is suspect
+	 */
+	public static boolean suspect(ServiceRoute route, long silentMs, boolean unresponsive) {
+		double expectedMs = route.streaming() ? 0 : route.goalMs() * GOAL_MULTIPLE;
+		return unresponsive && silentMs > Math.max(UNRESPONSIVE_MS, expectedMs);
+	}
+
 	/**
 	 * Return whether a server counts as unresponsive.
 	 * @param serverSilentMs milliseconds since bytes last came from the server
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerTakeover.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerTakeover.java
@@ -91,7 +91,9 @@
 	// Keeps new requests away from the server, also if this one cannot be moved.
 	private void reportSilence(ServerSend current, long now) {
 		ServerState server = current.server();
-		if (unresponsive(current, now) && SilencePolicy.unresponsive(current.silentMs(now)) && !server.suspect(now)) {
+		boolean suspect = SilencePolicy.suspect(this.admitted.route(), current.silentMs(now),
+				unresponsive(current, now));
+		if (suspect && !server.suspect(now)) {
 			server.failedToReach(now);
 			this.context.log()
 				.line("event=server-silent server=" + current.serverId() + " request="
--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/FleetStateTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/FleetStateTests.java
@@ -244,6 +244,21 @@
 		assertTrue(SilencePolicy.needsTakeover(stream, 2_001, true, true, false));
 	}
 
+	/**
+	 * A plain request may take longer than a second by its goal, which says nothing about
+	 * its server.
+	 */
+	@Test
+	public void serverOfASilentSendIsSuspectOnlyBeyondTheGoalOfItsRoute() {
+		ServiceRoute plain = AttemptPolicyTests.route(RouteKind.NON_IDEMPOTENT, false);
+		assertTrue(SilencePolicy.suspect(plain, 1_001, true));
+		assertFalse(SilencePolicy.suspect(plain, 1_001, false));
+		ServiceRoute slow = new ServiceRoute("r", "a.example", "/r/", RouteKind.NON_IDEMPOTENT, plain.targets(), 9_000,
+				4_000, 0, 1, 0, false, false);
+		assertFalse(SilencePolicy.suspect(slow, 5_900, true));
+		assertTrue(SilencePolicy.suspect(slow, 6_001, true));
+	}
+
 	@Test
 	public void requestWithoutResponseIsTakenOverOnce() {
 		ServiceRoute plain = AttemptPolicyTests.route(RouteKind.IDEMPOTENT, false);
