Keep the body limit of a request while its body arrives

Callers got 413, and their connection closed, for a body within the limit that was in force when it began to arrive.

Cause: each part was compared with the limit of the newest version. Change: the limit is taken with the head of the request.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
@@ -69,6 +69,9 @@
 
 	private ByteBuf body = Unpooled.EMPTY_BUFFER;
 
+	/** Limit in force when the head of the request was read. */
+	private int maxBodyBytes;
+
 	private DirectExchange exchange;
 
 	private boolean keepAlive = true;
@@ -142,6 +145,7 @@
 
 	private void begin(HttpRequest request) {
 		this.head = request;
+		this.maxBodyBytes = this.frontend.maxBodyBytes();
 		this.wait.headComplete(this.context.now());
 		this.keepAlive = HttpUtil.isKeepAlive(request);
 		this.headRequested = request.method().equals(HttpMethod.HEAD);
@@ -160,9 +164,9 @@
 		}
 		ByteBuf data = content.content();
 		if (data.isReadable()) {
-			if (this.body.readableBytes() + data.readableBytes() > this.frontend.maxBodyBytes()) {
+			if (this.body.readableBytes() + data.readableBytes() > this.maxBodyBytes) {
 				refuseAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
-						"the body is larger than " + this.frontend.maxBodyBytes() + " bytes");
+						"the body is larger than " + this.maxBodyBytes + " bytes");
 				return;
 			}
 			if (!this.body.isWritable()) {
@@ -181,7 +185,7 @@
 	}
 
 	private ByteBuf grow(ByteBuf data) {
-		int length = (int) Math.min(HttpUtil.getContentLength(this.head, 0L), this.frontend.maxBodyBytes());
+		int length = (int) Math.min(HttpUtil.getContentLength(this.head, 0L), this.maxBodyBytes);
 		ByteBuf larger = Unpooled.buffer(Math.max(length, this.body.readableBytes() + data.readableBytes()) + 1);
 		return larger.writeBytes(this.body).writeBytes(data);
 	}
