--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/CrashObserver.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/CrashObserver.java
@@ -3,23 +3,23 @@
 import java.util.Locale;
 
 /**
- * Learns what {@link CrashSuspects} records and forgets, for logs and metrics. Called on
- * the event loop; must not block.
+ * Learns what {@link CrashSuspects} and {@link PromptSuspects} record and forget, for
+ * logs and metrics. Called on the event loop; must not block.
  */
 @FunctionalInterface
 public interface CrashObserver {
 
 	/** Ignores all changes. */
-	CrashObserver NONE = (change, fingerprint, detail) -> {
+	CrashObserver NONE = (change, subject, detail) -> {
 	};
 
 	/**
 	 * Observe a change.
 	 * @param change what happened
-	 * @param fingerprint the request's fingerprint
+	 * @param subject the request or prompt part, as a {@code key=value} pair
 	 * @param detail further inputs for the log, as {@code key=value} pairs
 	 */
-	void changed(Change change, long fingerprint, String detail);
+	void changed(Change change, String subject, String detail);
 
 	/**
 	 * Changes of the records. Immutable and thread-safe.
@@ -42,7 +42,10 @@
 		CLEARED,
 
 		/** The record was dropped because there were too many. */
-		EVICTED;
+		EVICTED,
+
+		/** The first request was refused because of the crashes of a prompt part. */
+		REFUSED;
 
 		/**
 		 * Return the name in logs and metrics.
--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/CrashSuspects.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/CrashSuspects.java
@@ -101,27 +101,31 @@
 	public void brokeOff(long fingerprint, String server) {
 		long now = this.clock.nanoTime();
 		expireBrokenResponses(now);
-		this.observer.changed(Change.SUSPECTED, fingerprint, "server=" + server);
+		this.observer.changed(Change.SUSPECTED, subject(fingerprint), "server=" + server);
 		this.brokenResponses.add(new BrokenResponse(fingerprint, server, now, true));
 		if (this.brokenResponses.size() > MAX_BROKEN_RESPONSES) {
 			evictBrokenResponse();
 		}
 	}
 
+	private static String subject(long fingerprint) {
+		return "fingerprint=" + Long.toHexString(fingerprint);
+	}
+
 	private void evictBrokenResponse() {
 		BrokenResponse evicted = this.brokenResponses.stream()
 			.filter((broken) -> crashCount(broken.fingerprint) == 0)
 			.findFirst()
 			.orElse(this.brokenResponses.get(0));
 		this.brokenResponses.remove(evicted);
-		this.observer.changed(Change.EVICTED, evicted.fingerprint, "server=" + evicted.server);
+		this.observer.changed(Change.EVICTED, subject(evicted.fingerprint), "server=" + evicted.server);
 	}
 
 	private void expireBrokenResponses(long now) {
 		this.brokenResponses.removeIf((broken) -> {
 			boolean expired = now - broken.at > CONFIRM_NANOS;
 			if (expired) {
-				this.observer.changed(Change.UNCONFIRMED, broken.fingerprint, "server=" + broken.server);
+				this.observer.changed(Change.UNCONFIRMED, subject(broken.fingerprint), "server=" + broken.server);
 			}
 			return expired;
 		});
@@ -152,7 +156,7 @@
 		this.brokenResponses.removeAll(confirmed);
 		for (BrokenResponse broken : confirmed) {
 			int crashes = recordCrash(broken.fingerprint, server);
-			this.observer.changed(Change.CONFIRMED, broken.fingerprint,
+			this.observer.changed(Change.CONFIRMED, subject(broken.fingerprint),
 					"server=" + server + " crashes=" + crashes + " afterMs=" + (now - broken.at) / NANOS_PER_MS);
 		}
 	}
@@ -201,7 +205,8 @@
 		Map.Entry<Long, Suspect> evicted = Collections.min(this.suspects.entrySet(),
 				Map.Entry.comparingByValue(fewestCrashesFirst));
 		this.suspects.remove(evicted.getKey());
-		this.observer.changed(Change.EVICTED, evicted.getKey(), "crashes=" + evicted.getValue().crashes.size());
+		this.observer.changed(Change.EVICTED, subject(evicted.getKey()),
+				"crashes=" + evicted.getValue().crashes.size());
 	}
 
 	/**
@@ -222,7 +227,7 @@
 			}
 			int count = recordCrash(fingerprint, server, at);
 			reportSoon(fingerprint, 1);
-			this.observer.changed(Change.LEARNED, fingerprint,
+			this.observer.changed(Change.LEARNED, subject(fingerprint),
 					"server=" + server + " crashes=" + count + " ageMs=" + ageMs);
 		});
 	}
@@ -247,7 +252,7 @@
 		}
 		int crashes = suspect.clear(at);
 		if (crashes > 0) {
-			this.observer.changed(Change.CLEARED, fingerprint, "crashes=" + crashes);
+			this.observer.changed(Change.CLEARED, subject(fingerprint), "crashes=" + crashes);
 		}
 		evictSuspects();
 	}
--- a/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
@@ -17,17 +17,20 @@
 import org.agrona.concurrent.NanoClock;
 import org.agrona.concurrent.SystemNanoClock;
 
+import org.acaciamux.internal.coordination.direct.CrashObserver;
 import org.acaciamux.internal.coordination.direct.CrashSuspects;
 import org.acaciamux.internal.coordination.direct.ExchangePolicy;
 import org.acaciamux.internal.coordination.direct.FleetLoads;
 import org.acaciamux.internal.coordination.direct.Placement;
 import org.acaciamux.internal.coordination.direct.PlacementSettings;
+import org.acaciamux.internal.coordination.direct.PromptSuspects;
 import org.acaciamux.internal.coordination.direct.RetryBudgets;
 import org.acaciamux.internal.coordination.direct.ServerEntry;
 import org.acaciamux.internal.coordination.direct.ServerTable;
 import org.acaciamux.internal.coordination.direct.TrafficConfig;
 import org.acaciamux.internal.event.DecisionLog;
 import org.acaciamux.internal.process.MetricsText;
+import org.acaciamux.internal.protocol.JsonTrees;
 import org.acaciamux.internal.transport.http.direct.DirectContext;
 import org.acaciamux.internal.transport.http.direct.DirectFrontend;
 import org.acaciamux.internal.transport.http.direct.DirectMetrics;
@@ -66,6 +69,9 @@
 	 */
 	private static final long STOP_MARGIN_MS = 600;
 
+	/** Largest number of prompt parts that are listed for operators. */
+	private static final int MAX_LISTED_PARTS = 64;
+
 	private static final double MICROS_PER_MS = 1000.0;
 
 	private final NanoClock clock = SystemNanoClock.INSTANCE;
@@ -80,7 +86,7 @@
 
 	private final ServerTable servers;
 
-	private final CrashSuspects suspects;
+	private final PromptSuspects promptSuspects;
 
 	private final DirectContext context;
 
@@ -114,21 +120,23 @@
 		this.servers = new ServerTable(this.clock);
 		this.loads = new FleetLoads(this.clock);
 		DirectMetrics metrics = new DirectMetrics(this.registry);
-		this.suspects = new CrashSuspects(this.clock, (change, fingerprint, detail) -> {
+		CrashObserver observer = (change, subject, detail) -> {
 			metrics.crash(change);
-			log.line("event=crash-" + change.label() + " fingerprint=" + Long.toHexString(fingerprint) + " " + detail);
-		});
+			log.line("event=crash-" + change.label() + " " + subject + " " + detail);
+		};
+		CrashSuspects suspects = new CrashSuspects(this.clock, observer);
+		this.promptSuspects = new PromptSuspects(this.clock, observer);
 		Placement placement = new Placement(this.servers,
 				new PlacementSettings(settings.promptTokensPerMs(), settings.stepMicrosPerRequest() / MICROS_PER_MS),
 				this.clock);
 		RetryBudgets budgets = new RetryBudgets(settings.retryRatio(), settings.retryAllowance());
-		this.context = new DirectContext(this.loop, this.clock, format, this.servers, placement, budgets, this.suspects,
-				metrics, log);
+		this.context = new DirectContext(this.loop, this.clock, format, this.servers, placement, budgets, suspects,
+				this.promptSuspects, metrics, log);
 		this.frontend = new DirectFrontend(this.context);
 		DirectoryParts parts = new DirectoryParts(settings, this.loop, this.clock, log);
 		this.directory = directories.create(parts).orElseThrow();
-		this.peers = new PeerExchange(parts, this.clock.nanoTime(), this.directory, this.servers, this.loads,
-				this.suspects, this.context.placements(), metrics);
+		this.peers = new PeerExchange(parts, this.clock.nanoTime(), this.directory, this.servers, this.loads, suspects,
+				this.promptSuspects, this.context.placements(), metrics);
 	}
 
 	/**
@@ -142,7 +150,8 @@
 		PageServer pages = new PageServer(this.loop,
 				Map.of(PageServer.STATE_PATH, this::statePage, PageServer.PLACEMENTS_PATH,
 						(query) -> new PageServer.Page(200, this.peers.startPage()), PageServer.METRICS_PATH,
-						(query) -> PageServer.Page.text(200, MetricsText.write(this.registry))));
+						(query) -> PageServer.Page.text(200, MetricsText.write(this.registry)),
+						PageServer.SUSPECT_PARTS_PATH, this::suspectPartsPage));
 		List<ChannelFuture> bound = List.of(this.frontend.bind(this.settings.listen().toSocketAddress()),
 				readiness.bind(this.settings.readiness().toSocketAddress()),
 				pages.bind(this.settings.peer().toSocketAddress()), this.peers.bind());
@@ -203,6 +212,18 @@
 		return new PageServer.Page(200, this.directory.export(PageServer.number(query, PageServer.KNOWN_CONFIG)));
 	}
 
+	private PageServer.Page suspectPartsPage(QueryStringDecoder query) {
+		List<String> lifted = query.parameters().getOrDefault(PageServer.LIFT, List.of());
+		if (lifted.isEmpty()) {
+			return new PageServer.Page(200,
+					JsonTrees.write(PartCrashesJson.write(this.promptSuspects.mostCrashes(MAX_LISTED_PARTS))));
+		}
+		boolean found = this.promptSuspects.lift(lifted.get(0));
+		this.log.line("event=crash-lifted part=" + lifted.get(0) + " found=" + found);
+		return found ? PageServer.Page.text(200, "lifted\n")
+				: PageServer.Page.text(404, "no crash of this part is known\n");
+	}
+
 	private PageServer.Page readinessPage() {
 		return ready() ? PageServer.Page.text(200, "ready\n") : PageServer.Page.text(503, "not ready\n");
 	}
@@ -222,7 +243,7 @@
 	@Override
 	public void servers(List<ServerEntry> entries) {
 		this.servers.replace(entries.stream().collect(Collectors.toMap(ServerEntry::id, Function.identity())))
-			.forEach(this.suspects::lifetimeEnded);
+			.forEach(this.context::serverEnded);
 		this.context.serversKnown();
 	}
 
--- a/server/src/main/java/org/acaciamux/internal/process/direct/PageServer.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/PageServer.java
@@ -50,6 +50,15 @@
 	/** Metrics in the text exposition format. */
 	static final String METRICS_PATH = "/metrics";
 
+	/** Prompt parts under which servers crashed, for operators. */
+	static final String SUSPECT_PARTS_PATH = "/suspect-parts";
+
+	/**
+	 * Query parameter of {@link #SUSPECT_PARTS_PATH}: a part that is cleared of all its
+	 * crashes, at every router.
+	 */
+	static final String LIFT = "lift";
+
 	/** Key of the page that is served if no other path matches. */
 	static final String ANY_PATH = "*";
 
--- a/server/src/main/java/org/acaciamux/internal/process/direct/PeerDatagrams.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/PeerDatagrams.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 
 import org.acaciamux.internal.coordination.direct.CrashSuspects.Crashes;
+import org.acaciamux.internal.coordination.direct.PartCrashes;
 import org.acaciamux.internal.coordination.direct.PromptPart;
 
 /**
@@ -54,7 +55,7 @@
 
 	private static int entries(PeerMessage message) {
 		return message.inFlight().size() + message.crashes().size() + message.leavingServers().size()
-				+ message.placements().values().stream().mapToInt(List::size).sum();
+				+ message.partCrashes().size() + message.placements().values().stream().mapToInt(List::size).sum();
 	}
 
 	private static PeerMessage part(PeerMessage message, int from, int to) {
@@ -62,6 +63,7 @@
 		Map<Long, Crashes> crashes = new HashMap<>();
 		Set<String> leavingServers = new HashSet<>();
 		Map<String, List<List<PromptPart>>> placements = new HashMap<>();
+		Map<String, PartCrashes> partCrashes = new HashMap<>();
 		int index = 0;
 		for (Map.Entry<String, Integer> entry : message.inFlight().entrySet()) {
 			if (index >= from && index < to) {
@@ -75,6 +77,12 @@
 			}
 			index++;
 		}
+		for (Map.Entry<String, PartCrashes> entry : message.partCrashes().entrySet()) {
+			if (index >= from && index < to) {
+				partCrashes.put(entry.getKey(), entry.getValue());
+			}
+			index++;
+		}
 		for (String server : message.leavingServers()) {
 			if (index >= from && index < to) {
 				leavingServers.add(server);
@@ -90,7 +98,7 @@
 			}
 		}
 		return new PeerMessage(message.router(), message.peer(), message.incarnation(), message.sequence(),
-				message.leaving(), message.freshness(), inFlight, crashes, leavingServers, placements);
+				message.leaving(), message.freshness(), inFlight, crashes, leavingServers, placements, partCrashes);
 	}
 
 }
--- a/server/src/main/java/org/acaciamux/internal/process/direct/PeerExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/PeerExchange.java
@@ -19,6 +19,7 @@
 import org.acaciamux.internal.coordination.direct.ExchangePolicy;
 import org.acaciamux.internal.coordination.direct.FleetLoads;
 import org.acaciamux.internal.coordination.direct.PromptPart;
+import org.acaciamux.internal.coordination.direct.PromptSuspects;
 import org.acaciamux.internal.coordination.direct.RecentPlacements;
 import org.acaciamux.internal.coordination.direct.ServerState;
 import org.acaciamux.internal.coordination.direct.ServerTable;
@@ -95,6 +96,8 @@
 
 	private final CrashSuspects suspects;
 
+	private final PromptSuspects promptSuspects;
+
 	private final RecentPlacements placements;
 
 	private final PeerSocket socket;
@@ -112,7 +115,7 @@
 	private long pageAt;
 
 	PeerExchange(DirectoryParts parts, long incarnation, Directory directory, ServerTable servers, FleetLoads loads,
-			CrashSuspects suspects, RecentPlacements placements, DirectMetrics metrics) {
+			CrashSuspects suspects, PromptSuspects promptSuspects, RecentPlacements placements, DirectMetrics metrics) {
 		this.loop = parts.loop();
 		this.clock = parts.clock();
 		this.router = parts.settings().id();
@@ -123,6 +126,7 @@
 		this.servers = servers;
 		this.loads = loads;
 		this.suspects = suspects;
+		this.promptSuspects = promptSuspects;
 		this.placements = placements;
 		this.socket = new PeerSocket(parts, metrics);
 	}
@@ -154,7 +158,7 @@
 		}
 		PeerMessage message = new PeerMessage(this.router, this.self.toString(), this.incarnation, ++this.sequence,
 				this.leaving, this.directory.freshness(), inFlight, this.suspects.report(),
-				this.servers.announcedDepartures(), this.placements.drain());
+				this.servers.announcedDepartures(), this.placements.drain(), this.promptSuspects.report());
 		this.socket.send(message,
 				ExchangePolicy.receivers(this.peers.values(), this.random)
 					.stream()
@@ -173,6 +177,7 @@
 		Endpoint.parse(message.peer()).ifPresent((peer) -> {
 			if (wasSilent(peer)) {
 				this.suspects.reportAllSoon();
+				this.promptSuspects.reportAllSoon();
 			}
 			addPeer(peer);
 			Peer sender = this.peers.get(peer.toString());
@@ -186,6 +191,7 @@
 				message.leaving() ? Map.of() : message.inFlight());
 		this.servers.peersInFlight(this.loads.inFlight());
 		message.crashes().forEach((fingerprint, crashes) -> this.suspects.merge(fingerprint, crashes));
+		message.partCrashes().forEach((part, crashes) -> this.promptSuspects.merge(part, crashes));
 		message.leavingServers().forEach((lifetime) -> leaving(lifetime, message.router()));
 		addPlacements(message.placements());
 	}
@@ -225,7 +231,9 @@
 			Map<String, List<List<PromptPart>>> cached = new HashMap<>();
 			this.servers.all()
 				.forEach((server) -> cached.put(server.entry().lifetime(), List.of(server.cachedParts(limit))));
-			this.page = new StartPage(cached, this.suspects.mostCrashes(MAX_SUSPECTS_PER_PAGE)).encode();
+			this.page = new StartPage(cached, this.suspects.mostCrashes(MAX_SUSPECTS_PER_PAGE),
+					this.promptSuspects.mostCrashes(MAX_SUSPECTS_PER_PAGE))
+				.encode();
 			this.pageAt = now;
 		}
 		return this.page;
@@ -249,6 +257,7 @@
 			StartPage restored = StartPage.decode(page);
 			addPlacementsByLifetime(restored.placements());
 			restored.crashes().forEach(this.suspects::merge);
+			restored.partCrashes().forEach(this.promptSuspects::merge);
 		}
 		catch (IOException ex) {
 			this.log.line("event=placements-invalid from=" + source + " reason=\"" + ex.getMessage() + "\"");
--- a/server/src/main/java/org/acaciamux/internal/process/direct/PeerMessage.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/PeerMessage.java
@@ -14,6 +14,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
 import org.acaciamux.internal.coordination.direct.CrashSuspects.Crashes;
+import org.acaciamux.internal.coordination.direct.PartCrashes;
 import org.acaciamux.internal.coordination.direct.PromptPart;
 import org.acaciamux.internal.protocol.JsonTrees;
 
@@ -34,10 +35,13 @@
  * does not show it yet
  * @param placements shared parts of the prompts sent since the last message, by backend
  * server id
+ * @param partCrashes crashes of servers that were running requests with a prompt part, by
+ * the part
  */
 record PeerMessage(String router, String peer, long incarnation, long sequence, boolean leaving,
 		Directory.Freshness freshness, Map<String, Integer> inFlight, Map<Long, Crashes> crashes,
-		Set<String> leavingServers, Map<String, List<List<PromptPart>>> placements) {
+		Set<String> leavingServers, Map<String, List<List<PromptPart>>> placements,
+		Map<String, PartCrashes> partCrashes) {
 
 	/** Version of the format; a message of another version is ignored. */
 	private static final int FORMAT = 1;
@@ -60,6 +64,7 @@
 		ArrayNode servers = node.putArray("leavingServers");
 		this.leavingServers.forEach(servers::add);
 		node.set("placements", PlacementsJson.write(this.placements));
+		node.set("partCrashes", PartCrashesJson.write(this.partCrashes));
 		return JsonTrees.write(node);
 	}
 
@@ -83,7 +88,7 @@
 				new Directory.Freshness(node.path("config").asLong(), node.path("revision").asLong(),
 						node.path("changed").asLong(), node.path("ageMs").asLong()),
 				loads, CrashesJson.read(node.path("crashes")), leavingServers,
-				PlacementsJson.read(node.path("placements"))));
+				PlacementsJson.read(node.path("placements")), PartCrashesJson.read(node.path("partCrashes"))));
 	}
 
 }
--- a/server/src/main/java/org/acaciamux/internal/process/direct/StartPage.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/StartPage.java
@@ -9,6 +9,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
 import org.acaciamux.internal.coordination.direct.CrashSuspects.Crashes;
+import org.acaciamux.internal.coordination.direct.PartCrashes;
 import org.acaciamux.internal.coordination.direct.PromptPart;
 import org.acaciamux.internal.protocol.JsonTrees;
 
@@ -18,8 +19,10 @@
  *
  * @param placements prompts that each backend server has cached, by the server's lifetime
  * @param crashes crashes by the fingerprint of the request
+ * @param partCrashes crashes by prompt part
  */
-record StartPage(Map<String, List<List<PromptPart>>> placements, Map<Long, Crashes> crashes) {
+record StartPage(Map<String, List<List<PromptPart>>> placements, Map<Long, Crashes> crashes,
+		Map<String, PartCrashes> partCrashes) {
 
 	/**
 	 * Field of the crashes among the lifetimes of servers. Its value has the form of a
@@ -28,21 +31,37 @@
 	 */
 	private static final String CRASHES = "crashes";
 
+	/** Field of the crashes by prompt part, of the same form. */
+	private static final String PART_CRASHES = "partCrashes";
+
 	byte[] encode() {
 		ObjectNode node = PlacementsJson.write(this.placements);
 		if (!this.crashes.isEmpty()) {
-			String text = new String(JsonTrees.write(CrashesJson.write(this.crashes)), StandardCharsets.UTF_8);
-			node.putArray(CRASHES).addArray().add(text).add(0);
+			put(node, CRASHES, CrashesJson.write(this.crashes));
+		}
+		if (!this.partCrashes.isEmpty()) {
+			put(node, PART_CRASHES, PartCrashesJson.write(this.partCrashes));
 		}
 		return JsonTrees.write(node);
 	}
 
+	private static void put(ObjectNode node, String field, ObjectNode value) {
+		String text = new String(JsonTrees.write(value), StandardCharsets.UTF_8);
+		node.putArray(field).addArray().add(text).add(0);
+	}
+
+	private static JsonNode get(JsonNode node, String field) throws IOException {
+		String text = node.path(field).path(0).path(0).asText("{}");
+		return JsonTrees.read(text.getBytes(StandardCharsets.UTF_8));
+	}
+
 	static StartPage decode(byte[] bytes) throws IOException {
 		JsonNode node = JsonTrees.read(bytes);
 		Map<String, List<List<PromptPart>>> placements = PlacementsJson.read(node);
 		placements.remove(CRASHES);
-		String text = node.path(CRASHES).path(0).path(0).asText("{}");
-		return new StartPage(placements, CrashesJson.read(JsonTrees.read(text.getBytes(StandardCharsets.UTF_8))));
+		placements.remove(PART_CRASHES);
+		return new StartPage(placements, CrashesJson.read(get(node, CRASHES)),
+				PartCrashesJson.read(get(node, PART_CRASHES)));
 	}
 
 }
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/CrashCheck.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/CrashCheck.java
@@ -42,25 +42,27 @@
 	/**
 	 * Record that a response broke off, and check its server.
 	 * @param fingerprint the request's fingerprint
-	 * @param server the server
+	 * @param send the send
 	 */
-	void brokeOff(long fingerprint, ServerState server) {
-		start(fingerprint, server, this.context.now() + IN_FLIGHT_NANOS);
+	void brokeOff(long fingerprint, ServerSend send) {
+		start(fingerprint, send, this.context.now() + IN_FLIGHT_NANOS);
 	}
 
 	/**
 	 * Record that a request was given up although its server had sent nothing since the
 	 * request was sent, and check the server. One that lost power closes no connection.
 	 * @param fingerprint the request's fingerprint
-	 * @param server the server
+	 * @param send the send
 	 */
-	void silent(long fingerprint, ServerState server) {
-		start(fingerprint, server, this.context.now());
+	void silent(long fingerprint, ServerSend send) {
+		start(fingerprint, send, this.context.now());
 	}
 
-	private void start(long fingerprint, ServerState server, long livesIfReceivedAfter) {
+	private void start(long fingerprint, ServerSend send, long livesIfReceivedAfter) {
+		ServerState server = send.server();
 		String lifetime = server.observedLifetime();
 		this.context.suspects().brokeOff(fingerprint, lifetime);
+		this.context.promptSuspects().brokeOff(send.promptRun(), lifetime);
 		if (this.checking.put(lifetime, livesIfReceivedAfter) == null) {
 			this.context.loop().schedule(() -> check(server, lifetime), DELAY_MS, TimeUnit.MILLISECONDS);
 		}
@@ -69,7 +71,7 @@
 	private void check(ServerState server, String lifetime) {
 		if (server.lastReceivedAt() - this.checking.get(lifetime) > 0) {
 			this.checking.remove(lifetime);
-			this.context.suspects().lives(lifetime);
+			lives(lifetime);
 			return;
 		}
 		int limit = this.context.maxConnections(server.entry().service());
@@ -77,12 +79,26 @@
 			this.checking.remove(lifetime);
 			result.forEach((channel) -> {
 				this.context.channels().release(channel);
-				this.context.suspects().lives(lifetime);
+				lives(lifetime);
 			});
 			if (result.isLeft() && result.getLeft().refused()) {
-				this.context.suspects().lifetimeEnded(lifetime);
+				lifetimeEnded(lifetime);
 			}
 		});
 	}
 
+	private void lives(String lifetime) {
+		this.context.suspects().lives(lifetime);
+		this.context.promptSuspects().lives(lifetime);
+	}
+
+	/**
+	 * Record that a server's lifetime ended without notice.
+	 * @param lifetime the {@link ServerState#observedLifetime()} of the server
+	 */
+	void lifetimeEnded(String lifetime) {
+		this.context.suspects().lifetimeEnded(lifetime);
+		this.context.promptSuspects().lifetimeEnded(lifetime);
+	}
+
 }
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/CrashHistory.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/CrashHistory.java
@@ -1,6 +1,7 @@
 package org.acaciamux.internal.transport.http.direct;
 
 import java.util.Optional;
+import java.util.Set;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -8,6 +9,8 @@
 import org.acaciamux.internal.coordination.direct.CallerRequest;
 import org.acaciamux.internal.coordination.direct.CrashSuspects;
 import org.acaciamux.internal.coordination.direct.Organisation;
+import org.acaciamux.internal.coordination.direct.PromptRun;
+import org.acaciamux.internal.coordination.direct.PromptSuspects;
 import org.acaciamux.internal.coordination.direct.ResponsePolicy;
 import org.acaciamux.internal.coordination.direct.SendResult;
 import org.acaciamux.internal.coordination.direct.ServerState;
@@ -15,9 +18,10 @@
 import org.acaciamux.internal.state.StableHash;
 
 /**
- * Connects one request with the crashes of servers that were running it, whoever sent it.
- * Invariant: requests with the same path, organisation and body share one history.
- * Confined to the event loop.
+ * Connects one request with the crashes of servers that were running it, whoever sent it,
+ * or another request with one of its prompt parts. Invariants: requests with the same
+ * path, organisation and body share one history; so do requests with a common part, for
+ * this part. Confined to the event loop.
  */
 final class CrashHistory {
 
@@ -29,18 +33,44 @@
 
 	private final CrashSuspects suspects;
 
+	private final PromptSuspects promptSuspects;
+
+	private final Set<String> parts;
+
 	private final long fingerprint;
 
+	private boolean ranAtCrash;
+
 	// Not the key: an organisation may replace it while it resends a request.
 	CrashHistory(DirectContext context, CallerRequest request, Optional<Organisation> organisation, ByteBuf body) {
 		this.context = context;
 		this.suspects = context.suspects();
+		this.promptSuspects = context.promptSuspects();
+		this.parts = PromptSuspects.sharedParts(request.prompt());
 		this.fingerprint = StableHash.of(request.uri(), organisation.map(Organisation::name).orElse(""))
 				^ (body.isReadable() ? body.hashCode() * BODY_HASH_FACTOR : 0);
 	}
 
 	boolean refused() {
-		return this.suspects.shouldRefuse(this.fingerprint);
+		return this.suspects.shouldRefuse(this.fingerprint) || this.promptSuspects.shouldRefuse(this.parts);
+	}
+
+	/**
+	 * Record that the request is being sent.
+	 * @param service the service of the server
+	 * @return the run, which must be ended
+	 */
+	PromptRun started(String service) {
+		return this.promptSuspects.started(service, this.parts);
+	}
+
+	/**
+	 * Return whether the request has to wait until it is known whether its prompt parts
+	 * are harmless.
+	 * @return whether it has to
+	 */
+	boolean mustWait() {
+		return this.promptSuspects.mustWait(this.parts, this.ranAtCrash);
 	}
 
 	/**
@@ -48,7 +78,7 @@
 	 * @return the time in milliseconds, 0 if it is not refused
 	 */
 	long refusedForMs() {
-		return this.suspects.refusedForMs(this.fingerprint);
+		return Math.max(this.suspects.refusedForMs(this.fingerprint), this.promptSuspects.refusedForMs(this.parts));
 	}
 
 	/**
@@ -63,25 +93,26 @@
 	/**
 	 * Record the end of a send without a usable response.
 	 * @param result how it ended
-	 * @param server its server
+	 * @param send the send
 	 */
-	void sendFailed(SendResult result, ServerState server) {
+	void sendFailed(SendResult result, ServerSend send) {
 		if (result == SendResult.BROKEN) {
-			this.context.crashCheck().brokeOff(this.fingerprint, server);
+			this.ranAtCrash = true;
+			this.context.crashCheck().brokeOff(this.fingerprint, send);
 		}
 	}
 
 	/**
 	 * Record that a send was given up without a complete response.
-	 * @param server its server
-	 * @param sentAt when it was sent, monotonic time in nanoseconds
+	 * @param send the send
 	 * @param overdue whether a response was due; otherwise a server counts as silent
 	 * after the time in which all its connections should have brought something
 	 */
-	void givenUp(ServerState server, long sentAt, boolean overdue) {
-		boolean silent = server.lastReceivedAt() - sentAt < 0;
-		if (silent && (overdue || SilencePolicy.unresponsive((this.context.now() - sentAt) / NANOS_PER_MS))) {
-			this.context.crashCheck().silent(this.fingerprint, server);
+	void givenUp(ServerSend send, boolean overdue) {
+		boolean silent = send.server().lastReceivedAt() - send.sentAt() < 0;
+		if (silent && (overdue || SilencePolicy.unresponsive((this.context.now() - send.sentAt()) / NANOS_PER_MS))) {
+			this.ranAtCrash = true;
+			this.context.crashCheck().silent(this.fingerprint, send);
 		}
 	}
 
@@ -92,7 +123,7 @@
 	 */
 	void notConnected(ServerChannels.Unavailable cause, ServerState server) {
 		if (cause.refused()) {
-			this.suspects.lifetimeEnded(server.observedLifetime());
+			this.context.crashCheck().lifetimeEnded(server.observedLifetime());
 		}
 	}
 
@@ -104,7 +135,7 @@
 	 */
 	void responded(int status, ServerState server) {
 		if (status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
-			this.suspects.lifetimeEnded(server.observedLifetime());
+			this.context.crashCheck().lifetimeEnded(server.observedLifetime());
 		}
 	}
 
@@ -120,12 +151,12 @@
 	}
 
 	/**
-	 * Return the fingerprint for the log.
-	 * @return the fingerprint in hexadecimal
+	 * Return what identifies the request in records of crashes, for the log.
+	 * @return the fingerprint in hexadecimal, and the prompt parts that others share
 	 */
 	@Override
 	public String toString() {
-		return Long.toHexString(this.fingerprint);
+		return Long.toHexString(this.fingerprint) + " parts=" + String.join(",", this.parts);
 	}
 
 }
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectContext.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectContext.java
@@ -12,8 +12,10 @@
 import org.acaciamux.internal.coordination.direct.Admission;
 import org.acaciamux.internal.coordination.direct.CrashSuspects;
 import org.acaciamux.internal.coordination.direct.Placement;
+import org.acaciamux.internal.coordination.direct.PromptSuspects;
 import org.acaciamux.internal.coordination.direct.RecentPlacements;
 import org.acaciamux.internal.coordination.direct.RetryBudgets;
+import org.acaciamux.internal.coordination.direct.ServerState;
 import org.acaciamux.internal.coordination.direct.ServerTable;
 import org.acaciamux.internal.coordination.direct.ServiceSpec;
 import org.acaciamux.internal.coordination.direct.TrafficConfig;
@@ -50,6 +52,8 @@
 
 	private final CrashSuspects suspects;
 
+	private final PromptSuspects promptSuspects;
+
 	private final CrashCheck crashCheck;
 
 	private final DirectMetrics metrics;
@@ -83,11 +87,13 @@
 	 * @param placement chooses backend servers
 	 * @param budgets retry budgets
 	 * @param suspects requests that crash servers
+	 * @param promptSuspects prompt parts that crash servers
 	 * @param metrics counters and histograms
 	 * @param log receives a line for each decision
 	 */
 	public DirectContext(EventLoop loop, NanoClock clock, WireFormat format, ServerTable servers, Placement placement,
-			RetryBudgets budgets, CrashSuspects suspects, DirectMetrics metrics, DecisionLog log) {
+			RetryBudgets budgets, CrashSuspects suspects, PromptSuspects promptSuspects, DirectMetrics metrics,
+			DecisionLog log) {
 		this.loop = loop;
 		this.clock = clock;
 		this.format = format;
@@ -95,6 +101,7 @@
 		this.placement = placement;
 		this.budgets = budgets;
 		this.suspects = suspects;
+		this.promptSuspects = promptSuspects;
 		this.crashCheck = new CrashCheck(this);
 		this.metrics = metrics;
 		this.log = log;
@@ -139,6 +146,14 @@
 		return this.serversKnown && this.config.isPresent();
 	}
 
+	/**
+	 * Record that a server's lifetime ended without notice.
+	 * @param lifetime the {@link ServerState#observedLifetime()} of the server
+	 */
+	public void serverEnded(String lifetime) {
+		this.crashCheck.lifetimeEnded(lifetime);
+	}
+
 	void addWaiting(DirectExchange exchange) {
 		this.waiting.add(exchange);
 	}
@@ -257,6 +272,10 @@
 		return this.suspects;
 	}
 
+	PromptSuspects promptSuspects() {
+		return this.promptSuspects;
+	}
+
 	CrashCheck crashCheck() {
 		return this.crashCheck;
 	}
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
@@ -2,7 +2,6 @@
 
 import java.util.HashSet;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 
 import io.netty.buffer.ByteBuf;
@@ -21,7 +20,6 @@
 import org.acaciamux.internal.coordination.direct.SendResult;
 import org.acaciamux.internal.coordination.direct.ServerState;
 import org.acaciamux.internal.coordination.direct.ServiceRoute;
-import org.acaciamux.internal.coordination.direct.TrafficConfig;
 import org.acaciamux.internal.state.StableHash;
 import org.acaciamux.internal.transport.http.BodyFraming;
 
@@ -77,6 +75,8 @@
 
 	private CrashHistory crashes;
 
+	private SuspectHold hold;
+
 	DirectExchange(DirectContext context, DirectCaller caller, HttpRequest head, ByteBuf body) {
 		this.context = context;
 		this.caller = caller;
@@ -102,29 +102,9 @@
 	}
 
 	void start() {
-		Either<String, CallerRequest> parsed = this.context.format().request(this.head);
-		if (parsed.isLeft()) {
-			finish(HttpResponseStatus.BAD_REQUEST, "invalid", parsed.getLeft());
-			return;
-		}
-		CallerRequest request = parsed.get();
-		this.log.request(request.attemptId());
-		TrafficConfig config = this.context.config().orElseThrow();
-		Optional<ServiceRoute> route = config.route(request.host(), request.path());
-		if (route.isEmpty()) {
-			finish(HttpResponseStatus.NOT_FOUND, "no-route", "no route in version " + config.version());
-			return;
-		}
-		this.log.route(route.get().name());
-		Optional<Organisation> organisation = Optional.empty();
-		if (config.needsKey(route.get())) {
-			organisation = request.key().flatMap(config::organisation);
-			if (organisation.isEmpty()) {
-				finish(HttpResponseStatus.UNAUTHORIZED, "unknown-key", "key not in version " + config.version());
-				return;
-			}
-		}
-		admit(request, route.get(), organisation);
+		RequestLookup.find(this.context.format(), this.context.config().orElseThrow(), this.head, this.log)
+			.peekLeft((invalid) -> finish(invalid.status(), invalid.outcome(), invalid.reason()))
+			.forEach((found) -> admit(found.request(), found.route(), found.organisation()));
 	}
 
 	private void admit(CallerRequest request, ServiceRoute route, Optional<Organisation> organisation) {
@@ -136,42 +116,40 @@
 		this.policy = new AttemptPolicy(route);
 		this.relay = new ResponseRelay(this.caller, route, this.context.heldBytes());
 		this.crashes = new CrashHistory(this.context, request, organisation, this.body);
+		this.hold = new SuspectHold(this.context, this.crashes);
 		this.takeover = new ServerTakeover(this.context, this.admitted, this.policy, this.crashes, this);
 		send();
 	}
 
 	private void send() {
 		if (this.context.now() >= this.deadlineAt) {
-			conclude(this.policy.giveUp(relayStarted()), "the time limit has passed");
+			giveUp("the time limit has passed");
 			return;
 		}
-		if (this.crashes.refused()) {
-			conclude(this.policy.giveUp(relayStarted()),
-					"request " + this.crashes + " was running at several servers when they crashed");
-			return;
-		}
-		Optional<ServerState> chosen = this.context.placement()
-			.choose(this.admitted.service(), this.admitted.request(), this.tried);
-		if (chosen.isEmpty()) {
-			conclude(this.policy.giveUp(relayStarted()),
-					"no backend server of " + this.admitted.service() + " is available");
+		if (stoppedByCrashes(this::send)) {
 			return;
 		}
-		OptionalLong slotFreeMs = this.context.admission()
-			.refusal(chosen.get(), this.admitted.route(), this.admitted.waitClass());
-		if (slotFreeMs.isPresent()) {
-			this.slotFreeMs = slotFreeMs.getAsLong();
-			conclude(this.policy.giveUp(relayStarted()),
-					"no slot is free in time, wait " + this.slotFreeMs + " ms for " + this.admitted.waitClass() + " at "
-							+ chosen.get().describe(this.admitted.request().prompt(), this.context.now()));
+		Either<ServerChoice.None, ServerState> chosen = ServerChoice.choose(this.context, this.admitted, this.tried);
+		if (chosen.isLeft()) {
+			this.slotFreeMs = chosen.getLeft().slotFreeMs();
+			giveUp(chosen.getLeft().reason());
 			return;
 		}
-		this.current = new ServerSend(this.context, this.admitted, chosen.get());
+		this.current = new ServerSend(this.context, this.admitted, chosen.get(), this.crashes);
 		this.tried.add(this.current.serverId());
 		this.log.sent(this.current.choice());
 		this.current.connect(this::connected);
 	}
 
+	// Returns whether the request is not sent now.
+	private boolean stoppedByCrashes(Runnable next) {
+		SuspectHold.Decision decision = this.hold.decide(next);
+		if (decision.ends()) {
+			giveUp("request " + this.crashes + " " + decision.reason());
+		}
+		return decision != SuspectHold.Decision.SEND;
+	}
+
 	private void connected(Either<ServerChannels.Unavailable, ServerChannel> result) {
 		if (result.isLeft()) {
 			this.crashes.notConnected(result.getLeft(), this.current.server());
@@ -181,7 +159,13 @@
 		if (this.admitted.remainingMs(this.context.now()) < 1) {
 			this.context.channels().release(result.get());
 			endSends();
-			conclude(this.policy.giveUp(relayStarted()), "the time limit passed before the request was sent");
+			giveUp("the time limit passed before the request was sent");
+			return;
+		}
+		if (this.crashes.refused()) {
+			this.context.channels().release(result.get());
+			endSends();
+			giveUp("servers crashed while a connection was opened");
 			return;
 		}
 		transmit(this.current, result.get());
@@ -259,13 +243,15 @@
 	}
 
 	@Override
-	public void completed(ServerSend send) {
+	public void completed(ServerSend send, boolean proved) {
 		if (this.ended) {
 			return;
 		}
 		this.context.admission().answered(this.admitted.service(), (this.context.now() - send.sentAt()) / NANOS_PER_MS);
 		endSends();
-		this.crashes.completed(this.relay.status());
+		if (proved) {
+			this.crashes.completed(this.relay.status());
+		}
 		close("answered", "status " + this.relay.status());
 		this.relay.end();
 	}
@@ -292,11 +278,18 @@
 			return;
 		}
 		if (!this.crashes.allowsResend(result)) {
-			conclude(this.policy.giveUp(relayStarted()), "it has been running at crashed servers before: " + reason);
+			giveUp("it has been running at crashed servers before: " + reason);
+			return;
+		}
+		sendAgain(reason);
+	}
+
+	private void sendAgain(String reason) {
+		if (stoppedByCrashes(() -> sendAgain(reason))) {
 			return;
 		}
 		if (this.policy.nextIsRetry() && !this.context.budgets().tryRetry(this.admitted.service())) {
-			conclude(this.policy.giveUp(relayStarted()), "the retry budget is used up after: " + reason);
+			giveUp("the retry budget is used up after: " + reason);
 			return;
 		}
 		if (this.policy.nextIsRetry()) {
@@ -312,7 +305,7 @@
 		if (!result.notRun()) {
 			send.server().recordResult(true);
 		}
-		this.crashes.sendFailed(result, send.server());
+		this.crashes.sendFailed(result, send);
 		this.log.sendFailed(result, send.serverId(), this.crashes, reason);
 	}
 
@@ -324,6 +317,10 @@
 		}
 	}
 
+	private void giveUp(String reason) {
+		conclude(this.policy.giveUp(relayStarted()), reason);
+	}
+
 	private void conclude(Decision decision, String reason) {
 		switch (decision) {
 			case REFUSE -> refuse(reason);
@@ -378,7 +375,10 @@
 		}
 		if (expired) {
 			cancelSend();
-			conclude(this.policy.giveUp(relayStarted()), "the time limit has passed");
+			giveUp("the time limit has passed");
+			return;
+		}
+		if (this.hold.resume()) {
 			return;
 		}
 		if (this.current != null && this.current.awaitsResponse()) {
@@ -410,7 +410,7 @@
 			return;
 		}
 		if (this.current != null && this.current.awaitsResponse()) {
-			this.crashes.givenUp(this.current.server(), this.current.sentAt(), this.context.now() >= this.deadlineAt);
+			this.crashes.givenUp(this.current, this.context.now() >= this.deadlineAt);
 			this.policy.after(SendResult.SILENT, relayStarted());
 			this.current.cancel();
 			this.relay.discard();
@@ -440,7 +440,7 @@
 		}
 		else if (!this.ended) {
 			cancelSend();
-			conclude(this.policy.giveUp(relayStarted()), "the router is stopping");
+			giveUp("the router is stopping");
 		}
 	}
 
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
@@ -282,6 +282,7 @@
 
 	private void end() {
 		Optional<String> truncation = this.responseEnd.truncation();
+		boolean endMarked = !this.responseEnd.withConnection();
 		this.responseEnd = null;
 		if (truncation.isPresent()) {
 			broken(truncation.get());
@@ -290,7 +291,7 @@
 		ServerListener receiver = this.listener;
 		this.listener = null;
 		finish();
-		receiver.completed();
+		receiver.completed(endMarked);
 	}
 
 	private void finish() {
@@ -347,8 +348,10 @@
 
 		/**
 		 * The response is complete.
+		 * @param endMarked whether a length or chunks show that it is; otherwise its
+		 * connection was closed, which a crash does too
 		 */
-		void completed();
+		void completed(boolean endMarked);
 
 		/**
 		 * The response will not be completed.
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChoice.java
@@ -0,0 +1,51 @@
+package org.acaciamux.internal.transport.http.direct;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+
+import io.vavr.control.Either;
+
+import org.acaciamux.internal.coordination.direct.ServerState;
+
+/**
+ * Chooses the server of a send, if one takes the request in time. Holds no state.
+ */
+final class ServerChoice {
+
+	private ServerChoice() {
+	}
+
+	/**
+	 * Choose a server.
+	 * @param context the shared components
+	 * @param admitted the request
+	 * @param tried ids of the servers that have already been tried
+	 * @return why there is none, or the server
+	 */
+	static Either<None, ServerState> choose(DirectContext context, AdmittedRequest admitted, Set<String> tried) {
+		Optional<ServerState> chosen = context.placement().choose(admitted.service(), admitted.request(), tried);
+		if (chosen.isEmpty()) {
+			return Either.left(new None("no backend server of " + admitted.service() + " is available", 0));
+		}
+		OptionalLong slotFreeMs = context.admission().refusal(chosen.get(), admitted.route(), admitted.waitClass());
+		if (slotFreeMs.isEmpty()) {
+			return Either.right(chosen.get());
+		}
+		return Either
+			.left(new None(
+					"no slot is free in time, wait " + slotFreeMs.getAsLong() + " ms for " + admitted.waitClass()
+							+ " at " + chosen.get().describe(admitted.request().prompt(), context.now()),
+					slotFreeMs.getAsLong()));
+	}
+
+	/**
+	 * Why there is no server.
+	 *
+	 * @param reason the reason for the log
+	 * @param slotFreeMs estimated milliseconds until a slot is free, 0 if it is not known
+	 */
+	record None(String reason, long slotFreeMs) {
+	}
+
+}
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerSend.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerSend.java
@@ -6,8 +6,10 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.vavr.control.Either;
 
+import org.acaciamux.internal.coordination.direct.PromptRun;
 import org.acaciamux.internal.coordination.direct.SendResult;
 import org.acaciamux.internal.coordination.direct.ServerState;
 import org.acaciamux.settings.Endpoint;
@@ -32,6 +34,8 @@
 
 	private final String choice;
 
+	private final PromptRun promptRun;
+
 	private int pendingTokens;
 
 	private ServerChannel channel;
@@ -42,6 +46,8 @@
 
 	private boolean headReceived;
 
+	private boolean successful;
+
 	private boolean dataReceived;
 
 	private boolean readingPaused;
@@ -55,8 +61,9 @@
 	 * @param context the shared components
 	 * @param admitted the request
 	 * @param server the server
+	 * @param crashes the crashes of servers that were running the request
 	 */
-	ServerSend(DirectContext context, AdmittedRequest admitted, ServerState server) {
+	ServerSend(DirectContext context, AdmittedRequest admitted, ServerState server, CrashHistory crashes) {
 		this.context = context;
 		this.admitted = admitted;
 		this.server = server;
@@ -65,6 +72,11 @@
 			.promptSource(admitted.service(), admitted.request(), server)
 			.map((source) -> source.entry().address());
 		this.pendingTokens = server.started(admitted.request().prompt());
+		this.promptRun = crashes.started(admitted.service());
+	}
+
+	PromptRun promptRun() {
+		return this.promptRun;
 	}
 
 	ServerState server() {
@@ -136,6 +148,7 @@
 	@Override
 	public void head(HttpResponse head, WireFormat.ServerReply reply) {
 		this.headReceived = true;
+		this.successful = HttpStatusClass.SUCCESS.contains(head.status().code());
 		this.lastDataAt = this.context.now();
 		reply.load().ifPresent((load) -> this.server.reported(load, this.lastDataAt));
 		this.listener.head(this, head, reply);
@@ -148,14 +161,20 @@
 		}
 		this.dataReceived = true;
 		this.lastDataAt = this.context.now();
+		if (this.successful) {
+			this.promptRun.data(this.lastDataAt);
+		}
 		this.server.promptRead(this.pendingTokens);
 		this.pendingTokens = 0;
 		this.listener.data(this, data);
 	}
 
 	@Override
-	public void completed() {
-		this.listener.completed(this);
+	public void completed(boolean endMarked) {
+		if (endMarked) {
+			this.promptRun.completed();
+		}
+		this.listener.completed(this, endMarked);
 	}
 
 	@Override
@@ -213,6 +232,7 @@
 		this.channel = null;
 		this.server.promptRead(this.pendingTokens);
 		this.pendingTokens = 0;
+		this.promptRun.ended();
 		this.server.ended();
 	}
 
@@ -240,8 +260,10 @@
 		/**
 		 * The response is complete.
 		 * @param send the send
+		 * @param proved whether a length, chunks or the life of the server show that it
+		 * is
 		 */
-		void completed(ServerSend send);
+		void completed(ServerSend send, boolean proved);
 
 		/**
 		 * The response will not be completed.
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerTakeover.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerTakeover.java
@@ -115,7 +115,7 @@
 
 	private boolean mayRunElsewhere() {
 		return this.host.continuable() && this.policy.allowsAnotherRun() && !this.crashes.refused()
-				&& this.crashes.allowsResend(SendResult.SILENT);
+				&& this.crashes.allowsResend(SendResult.SILENT) && !this.crashes.mustWait();
 	}
 
 	private Optional<ServerState> choose(Set<String> tried) {
@@ -138,7 +138,7 @@
 	}
 
 	private void connect(ServerSend current, ServerState server) {
-		this.next = new ServerSend(this.context, this.admitted, server);
+		this.next = new ServerSend(this.context, this.admitted, server, this.crashes);
 		this.next.connect((result) -> connected(current, result));
 	}
 
@@ -152,7 +152,7 @@
 		long now = this.context.now();
 		boolean sends = needed(current, now) && this.admitted.remainingMs(now) >= 1;
 		if (sends) {
-			this.crashes.givenUp(current.server(), current.sentAt(), true);
+			this.crashes.givenUp(current, true);
 		}
 		if (!sends || this.crashes.refused()) {
 			this.context.channels().release(result.get());
--- a/server/src/test/java/org/acaciamux/internal/process/direct/PeerDatagramsTests.java
+++ b/server/src/test/java/org/acaciamux/internal/process/direct/PeerDatagramsTests.java
@@ -12,6 +12,7 @@
 import org.testng.annotations.Test;
 
 import org.acaciamux.internal.coordination.direct.CrashSuspects.Crashes;
+import org.acaciamux.internal.coordination.direct.PartCrashes;
 import org.acaciamux.internal.coordination.direct.PromptPart;
 
 import static org.testng.Assert.assertEquals;
@@ -26,9 +27,10 @@
 	private static final int SEEDS = 200;
 
 	private static PeerMessage message(Map<String, Integer> inFlight, Map<Long, Crashes> crashes,
-			Set<String> leavingServers, Map<String, List<List<PromptPart>>> placements) {
+			Set<String> leavingServers, Map<String, List<List<PromptPart>>> placements,
+			Map<String, PartCrashes> partCrashes) {
 		return new PeerMessage("edge-1", "10.0.0.1:7340", 5, 7, false, new Directory.Freshness(1, 2, 3, 4), inFlight,
-				crashes, leavingServers, placements);
+				crashes, leavingServers, placements, partCrashes);
 	}
 
 	@Test
@@ -53,8 +55,21 @@
 			for (int i = random.nextInt(40); i > 0; i--) {
 				leavingServers.add("i-server-" + i + "@1768238155699");
 			}
-			assertArrives(message(inFlight, crashes, leavingServers, placements), "seed " + seed);
+			Map<String, PartCrashes> partCrashes = new HashMap<>();
+			for (int i = random.nextInt(40); i > 0; i--) {
+				partCrashes.put("part-" + i, partCrashes(random));
+			}
+			assertArrives(message(inFlight, crashes, leavingServers, placements, partCrashes), "seed " + seed);
+		}
+	}
+
+	private static PartCrashes partCrashes(SplittableRandom random) {
+		Map<String, PartCrashes.Crash> crashes = new HashMap<>();
+		for (int i = random.nextInt(12); i >= 0; i--) {
+			crashes.put("i-server-" + i + "@1768238155699",
+					new PartCrashes.Crash("llm-pool", i, random.nextBoolean(), random.nextBoolean()));
 		}
+		return new PartCrashes(crashes, random.nextBoolean() ? OptionalLong.of(7) : OptionalLong.empty());
 	}
 
 	private static void assertArrives(PeerMessage sent, String description) {
@@ -62,6 +77,7 @@
 		Map<Long, Crashes> crashes = new HashMap<>();
 		Set<String> leavingServers = new HashSet<>();
 		Map<String, List<List<PromptPart>>> placements = new HashMap<>();
+		Map<String, PartCrashes> partCrashes = new HashMap<>();
 		assertEquals(PeerDatagrams.of(sent).leftOut(), 0, description);
 		for (byte[] datagram : PeerDatagrams.of(sent).datagrams()) {
 			assertTrue(datagram.length <= PeerDatagrams.MAX_BYTES, description + ": " + datagram.length + " bytes");
@@ -71,6 +87,7 @@
 			inFlight.putAll(part.inFlight());
 			crashes.putAll(part.crashes());
 			leavingServers.addAll(part.leavingServers());
+			partCrashes.putAll(part.partCrashes());
 			part.placements()
 				.forEach((server, prompts) -> placements.computeIfAbsent(server, (key) -> new ArrayList<>())
 					.addAll(prompts));
@@ -79,6 +96,7 @@
 		assertEquals(crashes, sent.crashes(), description);
 		assertEquals(leavingServers, sent.leavingServers(), description);
 		assertEquals(placements, sent.placements(), description);
+		assertEquals(partCrashes, sent.partCrashes(), description);
 	}
 
 	/**
@@ -92,7 +110,7 @@
 			prompt.add(new PromptPart("a-rather-long-part-" + i, 1_000));
 		}
 		PeerDatagrams parts = PeerDatagrams.of(message(Map.of("i-1", 3), Map.of(), Set.of(),
-				Map.of("i-1", List.of(prompt, List.of(new PromptPart("p", 1))))));
+				Map.of("i-1", List.of(prompt, List.of(new PromptPart("p", 1)))), Map.of()));
 		Map<String, Integer> inFlight = new HashMap<>();
 		parts.datagrams().forEach((datagram) -> inFlight.putAll(PeerMessage.decode(datagram).orElseThrow().inFlight()));
 		assertEquals(inFlight, Map.of("i-1", 3));
--- a/server/src/test/java/org/acaciamux/internal/process/direct/PeerMessageTests.java
+++ b/server/src/test/java/org/acaciamux/internal/process/direct/PeerMessageTests.java
@@ -37,7 +37,7 @@
 		}
 		for (int i = 0; i < MESSAGES; i++) {
 			byte[] bytes = new PeerMessage("r-1", "10.0.0.1:7340", 1, i, false, new Directory.Freshness(1, 1, 1, 0),
-					Map.of(), sender.report(), Set.of(), Map.of())
+					Map.of(), sender.report(), Set.of(), Map.of(), Map.of())
 				.encode();
 			assertTrue(bytes.length <= MAX_BYTES, "bytes " + bytes.length);
 			PeerMessage.decode(bytes).orElseThrow().crashes().forEach(receiver::merge);
--- a/server/src/test/java/org/acaciamux/internal/process/direct/StartPageTests.java
+++ b/server/src/test/java/org/acaciamux/internal/process/direct/StartPageTests.java
@@ -8,6 +8,7 @@
 import org.testng.annotations.Test;
 
 import org.acaciamux.internal.coordination.direct.CrashSuspects.Crashes;
+import org.acaciamux.internal.coordination.direct.PartCrashes;
 import org.acaciamux.internal.coordination.direct.PromptPart;
 import org.acaciamux.internal.protocol.JsonTrees;
 
@@ -23,7 +24,9 @@
 			List.of(List.of(new PromptPart("a", 3))));
 
 	private static final StartPage PAGE = new StartPage(PLACEMENTS,
-			Map.of(-7L, new Crashes(Map.of("i-1@5", 100L), OptionalLong.of(200))));
+			Map.of(-7L, new Crashes(Map.of("i-1@5", 100L), OptionalLong.of(200))),
+			Map.of("part-1", new PartCrashes(Map.of("i-1@5", new PartCrashes.Crash("s", 100, true, false)),
+					OptionalLong.of(50))));
 
 	@Test
 	public void pageIsReadAsWritten() throws IOException {
@@ -33,7 +36,7 @@
 	@Test
 	public void pageWithoutCrashesIsRead() throws IOException {
 		byte[] former = JsonTrees.write(PlacementsJson.write(PLACEMENTS));
-		assertEquals(StartPage.decode(former), new StartPage(PLACEMENTS, Map.of()));
+		assertEquals(StartPage.decode(former), new StartPage(PLACEMENTS, Map.of(), Map.of()));
 	}
 
 	@Test
