Check that a server lives when a response ends with its connection

Callers could get a response as complete although its server crashed: a response with neither a length nor chunks ends with its connection, and the system closes the connections of a process that ends in order. Such a response also cleared the crashes of its request and hid the crash.

Change: the end of such a response is passed on when the server has sent bytes afterwards or accepts a connection, 0.1 s later; a refused connection makes it a broken response, which counts as evidence of a crash. If there is no connection for another reason, the end is passed on and proves nothing. Only a marked end, or one whose server lives, clears crashes.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/CrashCheck.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/CrashCheck.java
@@ -1,8 +1,12 @@
 package org.acaciamux.internal.transport.http.direct;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import org.acaciamux.internal.coordination.direct.ServerState;
 
@@ -33,6 +37,9 @@
 	 */
 	private final Map<String, Long> checking = new HashMap<>();
 
+	/** Called with the result of the check of a server, by its lifetime. */
+	private final Map<String, List<Consumer<Finding>>> actions = new HashMap<>();
+
 	private final DirectContext context;
 
 	CrashCheck(DirectContext context) {
@@ -58,6 +65,17 @@
 		start(fingerprint, send, this.context.now());
 	}
 
+	/**
+	 * Check a server whose response ended with its connection.
+	 * @param fingerprint the request's fingerprint
+	 * @param send the send
+	 * @param action receives the finding
+	 */
+	void endedWithConnection(long fingerprint, ServerSend send, Consumer<Finding> action) {
+		this.actions.computeIfAbsent(send.server().observedLifetime(), (key) -> new ArrayList<>()).add(action);
+		brokeOff(fingerprint, send);
+	}
+
 	private void start(long fingerprint, ServerSend send, long livesIfReceivedAfter) {
 		ServerState server = send.server();
 		String lifetime = server.observedLifetime();
@@ -72,21 +90,30 @@
 		if (server.lastReceivedAt() - this.checking.get(lifetime) > 0) {
 			this.checking.remove(lifetime);
 			lives(lifetime);
+			checked(lifetime, Finding.LIVES);
 			return;
 		}
 		int limit = this.context.maxConnections(server.entry().service());
 		this.context.channels().open(server, limit, (result) -> {
 			this.checking.remove(lifetime);
+			Finding finding = result.fold((unavailable) -> unavailable.refused() ? Finding.CRASHED : Finding.UNKNOWN,
+					(channel) -> Finding.LIVES);
 			result.forEach((channel) -> {
 				this.context.channels().release(channel);
 				lives(lifetime);
 			});
-			if (result.isLeft() && result.getLeft().refused()) {
+			if (finding == Finding.CRASHED) {
 				lifetimeEnded(lifetime);
 			}
+			checked(lifetime, finding);
 		});
 	}
 
+	private void checked(String lifetime, Finding finding) {
+		Optional.ofNullable(this.actions.remove(lifetime))
+			.ifPresent((waiting) -> waiting.forEach((action) -> action.accept(finding)));
+	}
+
 	private void lives(String lifetime) {
 		this.context.suspects().lives(lifetime);
 		this.context.promptSuspects().lives(lifetime);
@@ -101,4 +128,20 @@
 		this.context.promptSuspects().lifetimeEnded(lifetime);
 	}
 
+	/**
+	 * Result of a check. Immutable and thread-safe.
+	 */
+	enum Finding {
+
+		/** The server sent bytes or accepted a connection. */
+		LIVES,
+
+		/** The server refused a connection. */
+		CRASHED,
+
+		/** There was no connection for another reason. */
+		UNKNOWN
+
+	}
+
 }
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/CrashHistory.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/CrashHistory.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -102,6 +103,16 @@
 		}
 	}
 
+	/**
+	 * Find out whether a server lives whose response ended with its connection: one that
+	 * crashes may close its connections in order.
+	 * @param send the send
+	 * @param action receives the finding
+	 */
+	void endedWithConnection(ServerSend send, Consumer<CrashCheck.Finding> action) {
+		this.context.crashCheck().endedWithConnection(this.fingerprint, send, action);
+	}
+
 	/**
 	 * Record that a send was given up without a complete response.
 	 * @param send the send
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerSend.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerSend.java
@@ -34,6 +34,8 @@
 
 	private final String choice;
 
+	private final CrashHistory crashes;
+
 	private final PromptRun promptRun;
 
 	private int pendingTokens;
@@ -50,6 +52,8 @@
 
 	private boolean dataReceived;
 
+	private boolean endUnderCheck;
+
 	private boolean readingPaused;
 
 	private boolean ended;
@@ -72,6 +76,7 @@
 			.promptSource(admitted.service(), admitted.request(), server)
 			.map((source) -> source.entry().address());
 		this.pendingTokens = server.started(admitted.request().prompt());
+		this.crashes = crashes;
 		this.promptRun = crashes.started(admitted.service());
 	}
 
@@ -172,9 +177,38 @@
 	@Override
 	public void completed(boolean endMarked) {
 		if (endMarked) {
+			completedBySound(true);
+			return;
+		}
+		this.endUnderCheck = true;
+		this.crashes.endedWithConnection(this, (finding) -> {
+			this.endUnderCheck = false;
+			if (this.ended) {
+				return;
+			}
+			if (finding == CrashCheck.Finding.CRASHED) {
+				broken(SendResult.BROKEN, "the server crashed when the response ended with its connection");
+			}
+			else {
+				completedBySound(finding == CrashCheck.Finding.LIVES);
+			}
+		});
+	}
+
+	private void completedBySound(boolean proved) {
+		if (proved) {
 			this.promptRun.completed();
 		}
-		this.listener.completed(this, endMarked);
+		this.listener.completed(this, proved);
+	}
+
+	/**
+	 * Return whether the response has ended with its connection, and it is being checked
+	 * that the server has not crashed.
+	 * @return whether it is
+	 */
+	boolean endUnderCheck() {
+		return this.endUnderCheck;
 	}
 
 	@Override
