Check at agents that a server lives when a response ends with its connection

Callers could get a response with neither a length nor chunks as complete although its server crashed and its connections were closed in order. At an agent, such a response also cleared the crash suspect and was stored as the answer to a keyed call, to be replayed to each later attempt.

Change: the end of such a response waits for a probe. It is complete if the same process answers; otherwise it is broken off, its outcome is unknown, and the crash is recorded as for any broken response.

--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/BackendMonitor.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/BackendMonitor.java
@@ -1,6 +1,7 @@
 package org.acaciamux.internal.coordination.admission;
 
 import java.util.List;
+import java.util.function.Consumer;
 
 import org.acaciamux.Failure;
 import org.acaciamux.FailureCode;
@@ -51,6 +52,23 @@
 		});
 	}
 
+	/**
+	 * Find out whether the server lives after a response that ended with its connection:
+	 * one that crashes may close its connections in order. The caller must not hold the
+	 * lock.
+	 * @param action receives whether the same process answers a probe
+	 */
+	void checkLife(Consumer<Boolean> action) {
+		this.core.update((effects) -> {
+			String before = this.core.health().incarnation();
+			effects.add(() -> this.backend.probe().thenAccept((health) -> action.accept(lives(before, health))));
+		});
+	}
+
+	private static boolean lives(String before, Backend.Health health) {
+		return health.state() == Backend.Health.State.UP && (before.isEmpty() || before.equals(health.incarnation()));
+	}
+
 	/**
 	 * Send a probe if one is due. The caller must not hold the lock.
 	 */
--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/RequestRunner.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/RequestRunner.java
@@ -174,8 +174,9 @@
 	}
 
 	/**
-	 * Forwards a response of the backend server to the router. Confined to the thread
-	 * that reads it.
+	 * Forwards a response of the backend server to the router. Invariant: one whose end
+	 * is not marked by a length or chunks is complete only if its server lives. Confined
+	 * to the thread that reads it, and after its end to the one that completes a probe.
 	 */
 	private final class Response implements Backend.Listener {
 
@@ -187,6 +188,8 @@
 
 		private int status;
 
+		private boolean endMarked = true;
+
 		private Response(AgentRequest request) {
 			this.request = request;
 			this.collector = RequestRunner.this.keyedCalls.new Collector(request);
@@ -220,8 +223,28 @@
 			});
 		}
 
+		@Override
+		public void endsWithConnection() {
+			this.endMarked = false;
+		}
+
 		@Override
 		public void end() {
+			if (this.endMarked) {
+				complete();
+				return;
+			}
+			RequestRunner.this.monitor.checkLife((lives) -> {
+				if (lives) {
+					complete();
+				}
+				else {
+					failed(Backend.Break.BROKEN_OFF, "The backend server crashed as the response ended");
+				}
+			});
+		}
+
+		private void complete() {
 			this.collector.end();
 			// A failure does not prove that the server ran the request to its end.
 			if (this.status < FIRST_SERVER_ERROR) {
--- a/server/src/test/java/org/acaciamux/internal/coordination/admission/FakeBackend.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/admission/FakeBackend.java
@@ -126,6 +126,17 @@
 			this.listener.end();
 		}
 
+		/**
+		 * Answer with neither length nor chunks; the end of the connection ends the
+		 * response.
+		 */
+		void answerWithConnection(String text) {
+			head();
+			this.listener.endsWithConnection();
+			data(text);
+			end();
+		}
+
 		void answer(String text) {
 			head();
 			data(text);
