Do not take a refused connection alone for a crash at the end of a response

Callers got a broken response although their server was sound and the response whole: with neither a length nor chunks, the end is checked by a connection, and one that is refused made the response a broken one. A busy server may refuse connections and go on with those that it has.

Change: the response is broken off only if no other connection to the server is open, because a process that ends closes all of them; otherwise its end is passed on and proves nothing.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/CrashCheck.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/CrashCheck.java
@@ -96,16 +96,18 @@
 		int limit = this.context.maxConnections(server.entry().service());
 		this.context.channels().open(server, limit, (result) -> {
 			this.checking.remove(lifetime);
-			Finding finding = result.fold((unavailable) -> unavailable.refused() ? Finding.CRASHED : Finding.UNKNOWN,
-					(channel) -> Finding.LIVES);
 			result.forEach((channel) -> {
 				this.context.channels().release(channel);
 				lives(lifetime);
 			});
-			if (finding == Finding.CRASHED) {
+			boolean refused = result.isLeft() && result.getLeft().refused();
+			if (refused) {
 				lifetimeEnded(lifetime);
 			}
-			checked(lifetime, finding);
+			// A process that ends closes all connections, also those that are idle.
+			boolean crashed = refused && !this.context.channels().connected(server);
+			Finding otherwise = crashed ? Finding.CRASHED : Finding.UNKNOWN;
+			checked(lifetime, result.isRight() ? Finding.LIVES : otherwise);
 		});
 	}
 
@@ -136,7 +138,7 @@
 		/** The server sent bytes or accepted a connection. */
 		LIVES,
 
-		/** The server refused a connection. */
+		/** The server refused a connection, and no other one to it is open. */
 		CRASHED,
 
 		/** There was no connection for another reason. */
