Bound the crashes of prompt parts in one message

Cause: a message could hold 24 parts with 12 crashes each, 17 KB (computed), which fills a slow link when it goes to 24 routers four times a second.

Change: a message takes no more parts once it has 48 crashes; the others stay urgent for the next one.

Result: fewer than 60 crashes in a message after 200 crashes of 20 parts (PromptSuspectsExchangeTests).

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/PromptSuspects.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/PromptSuspects.java
@@ -52,6 +52,12 @@
 	 */
 	static final int MAX_REPORTED = 24;
 
+	/**
+	 * Number of crashes from which on a message takes no more parts, about 60 bytes each:
+	 * a message of a few packets arrives over a lossy or slow link.
+	 */
+	static final int MAX_REPORTED_CRASHES = 48;
+
 	/** Largest number of parts in a message that are reported in turn only. */
 	static final int MAX_REPORTED_IN_TURN = 4;
 
@@ -350,10 +356,15 @@
 			.map(Map.Entry::getKey)
 			.toList();
 		Map<String, PartCrashes> result = new HashMap<>();
+		int crashes = 0;
 		for (String id : next) {
+			if (crashes >= MAX_REPORTED_CRASHES) {
+				break;
+			}
 			SuspectPart part = this.parts.remove(id);
 			part.reported();
 			result.put(id, part.crashes(this.clock.nanoTime()));
+			crashes += result.get(id).crashes().size();
 			this.parts.put(id, part);
 		}
 		return result;
--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/PromptSuspectsExchangeTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/PromptSuspectsExchangeTests.java
@@ -178,12 +178,16 @@
 
 	@Test
 	public void messageStaysSmallWhateverIsKnown() {
-		for (int i = 0; i < 40; i++) {
+		for (int i = 0; i < 200; i++) {
 			Set<String> parts = Set.of("part-" + i % 20, COMMON);
 			this.fleet.crash(this.suspects, this.fleet.run(this.suspects, parts));
 		}
 		Map<String, PartCrashes> report = this.suspects.report();
 		assertTrue(report.size() <= PromptSuspects.MAX_REPORTED);
+		assertTrue(report.values()
+			.stream()
+			.mapToInt((part) -> part.crashes().size())
+			.sum() < PromptSuspects.MAX_REPORTED_CRASHES + SuspectPart.MAX_REPORTED_CRASHES);
 		report.values().forEach((part) -> assertTrue(part.crashes().size() <= SuspectPart.MAX_REPORTED_CRASHES));
 	}
 
