--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/PromptSuspects.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/PromptSuspects.java
@@ -195,7 +195,7 @@
 	}
 
 	/**
-	 * Clear the parts of a proved run of the crashes that were known when it began.
+	 * Clear the parts of a proved run of the crashes before its response began.
 	 * @param run the run
 	 */
 	void proved(PromptRun run) {
--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/SuspectPart.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/SuspectPart.java
@@ -246,7 +246,8 @@
 	 * @param service the server's service
 	 * @param at when it happened, or later by the delay of messages; if it is cleared,
 	 * when it was cleared; monotonic time in nanoseconds
-	 * @param knownAt when this router learned of it, monotonic time in nanoseconds
+	 * @param knownAt when this router learned of it, from which on runs have time to
+	 * clear the part; monotonic time in nanoseconds
 	 * @param repeated whether the part was suspect when its run began
 	 * @param cleared whether a run that began later was proved
 	 */
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/CrashHistory.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/CrashHistory.java
@@ -40,6 +40,7 @@
 
 	private final long fingerprint;
 
+	/** Whether a server that was running this request may have crashed. */
 	private boolean ranAtCrash;
 
 	// Not the key: an organisation may replace it while it resends a request.
