Take the check of a response's end as evidence only

Callers got whole responses with neither a length nor chunks as broken off when their server only refused connections and this router had no other one to it: such a server cannot be told from one that crashed.

The check still decides whether the response proves its prompt parts and clears the crashes of its request, and a server that refuses a connection counts as crashed.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/CrashCheck.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/CrashCheck.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 
 import org.acaciamux.internal.coordination.direct.ServerState;
 
@@ -37,8 +36,8 @@
 	 */
 	private final Map<String, Long> checking = new HashMap<>();
 
-	/** Called with the result of the check of a server, by its lifetime. */
-	private final Map<String, List<Consumer<Finding>>> actions = new HashMap<>();
+	/** Called if a server lives, by its lifetime. */
+	private final Map<String, List<Runnable>> actions = new HashMap<>();
 
 	private final DirectContext context;
 
@@ -69,9 +68,9 @@
 	 * Check a server whose response ended with its connection.
 	 * @param fingerprint the request's fingerprint
 	 * @param send the send
-	 * @param action receives the finding
+	 * @param action called if the server lives
 	 */
-	void endedWithConnection(long fingerprint, ServerSend send, Consumer<Finding> action) {
+	void endedWithConnection(long fingerprint, ServerSend send, Runnable action) {
 		this.actions.computeIfAbsent(send.server().observedLifetime(), (key) -> new ArrayList<>()).add(action);
 		brokeOff(fingerprint, send);
 	}
@@ -90,7 +89,7 @@
 		if (server.lastReceivedAt() - this.checking.get(lifetime) > 0) {
 			this.checking.remove(lifetime);
 			lives(lifetime);
-			checked(lifetime, Finding.LIVES);
+			checked(lifetime, true);
 			return;
 		}
 		int limit = this.context.maxConnections(server.entry().service());
@@ -100,20 +99,18 @@
 				this.context.channels().release(channel);
 				lives(lifetime);
 			});
-			boolean refused = result.isLeft() && result.getLeft().refused();
-			if (refused) {
+			if (result.isLeft() && result.getLeft().refused()) {
 				lifetimeEnded(lifetime);
 			}
-			// A process that ends closes all connections, also those that are idle.
-			boolean crashed = refused && !this.context.channels().connected(server);
-			Finding otherwise = crashed ? Finding.CRASHED : Finding.UNKNOWN;
-			checked(lifetime, result.isRight() ? Finding.LIVES : otherwise);
+			checked(lifetime, result.isRight());
 		});
 	}
 
-	private void checked(String lifetime, Finding finding) {
-		Optional.ofNullable(this.actions.remove(lifetime))
-			.ifPresent((waiting) -> waiting.forEach((action) -> action.accept(finding)));
+	private void checked(String lifetime, boolean lives) {
+		List<Runnable> waiting = Optional.ofNullable(this.actions.remove(lifetime)).orElse(List.of());
+		if (lives) {
+			waiting.forEach(Runnable::run);
+		}
 	}
 
 	private void lives(String lifetime) {
@@ -130,20 +127,4 @@
 		this.context.promptSuspects().lifetimeEnded(lifetime);
 	}
 
-	/**
-	 * Result of a check. Immutable and thread-safe.
-	 */
-	enum Finding {
-
-		/** The server sent bytes or accepted a connection. */
-		LIVES,
-
-		/** The server refused a connection, and no other one to it is open. */
-		CRASHED,
-
-		/** There was no connection for another reason. */
-		UNKNOWN
-
-	}
-
 }
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/CrashHistory.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/CrashHistory.java
@@ -2,7 +2,6 @@
 
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Consumer;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -105,13 +104,15 @@
 	}
 
 	/**
-	 * Find out whether a server lives whose response ended with its connection: one that
-	 * crashes may close its connections in order.
+	 * Record that a response ended with its connection. It proves something only if the
+	 * server lives, because one that crashes may close its connections in order.
 	 * @param send the send
-	 * @param action receives the finding
 	 */
-	void endedWithConnection(ServerSend send, Consumer<CrashCheck.Finding> action) {
-		this.context.crashCheck().endedWithConnection(this.fingerprint, send, action);
+	void endedWithConnection(ServerSend send) {
+		this.context.crashCheck().endedWithConnection(this.fingerprint, send, () -> {
+			send.promptRun().completed();
+			completed(send.status());
+		});
 	}
 
 	/**
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
@@ -373,9 +373,6 @@
 			refuse("no configuration or no backend server is known yet");
 			return;
 		}
-		if (this.current != null && this.current.endUnderCheck()) {
-			return;
-		}
 		if (expired) {
 			cancelSend();
 			giveUp("the time limit has passed");
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannels.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannels.java
@@ -162,16 +162,6 @@
 		pool.idle.addFirst(channel);
 	}
 
-	/**
-	 * Return whether connections to a server are open as far as this router knows.
-	 * @param server the server
-	 * @return whether any is
-	 */
-	boolean connected(ServerState server) {
-		Pool pool = this.pools.get(server.entry().id());
-		return pool != null && pool.open > 0;
-	}
-
 	void closed(ServerChannel channel) {
 		Pool pool = this.pools.get(channel.serverId());
 		if (pool != null) {
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerSend.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerSend.java
@@ -48,12 +48,10 @@
 
 	private boolean headReceived;
 
-	private boolean successful;
+	private int status;
 
 	private boolean dataReceived;
 
-	private boolean endUnderCheck;
-
 	private boolean readingPaused;
 
 	private boolean ended;
@@ -153,7 +151,7 @@
 	@Override
 	public void head(HttpResponse head, WireFormat.ServerReply reply) {
 		this.headReceived = true;
-		this.successful = HttpStatusClass.SUCCESS.contains(head.status().code());
+		this.status = head.status().code();
 		this.lastDataAt = this.context.now();
 		reply.load().ifPresent((load) -> this.server.reported(load, this.lastDataAt));
 		this.listener.head(this, head, reply);
@@ -166,7 +164,7 @@
 		}
 		this.dataReceived = true;
 		this.lastDataAt = this.context.now();
-		if (this.successful) {
+		if (HttpStatusClass.SUCCESS.contains(this.status)) {
 			this.promptRun.data(this.lastDataAt);
 		}
 		this.server.promptRead(this.pendingTokens);
@@ -177,38 +175,20 @@
 	@Override
 	public void completed(boolean endMarked) {
 		if (endMarked) {
-			completedBySound(true);
-			return;
-		}
-		this.endUnderCheck = true;
-		this.crashes.endedWithConnection(this, (finding) -> {
-			this.endUnderCheck = false;
-			if (this.ended) {
-				return;
-			}
-			if (finding == CrashCheck.Finding.CRASHED) {
-				broken(SendResult.BROKEN, "the server crashed when the response ended with its connection");
-			}
-			else {
-				completedBySound(finding == CrashCheck.Finding.LIVES);
-			}
-		});
-	}
-
-	private void completedBySound(boolean proved) {
-		if (proved) {
 			this.promptRun.completed();
 		}
-		this.listener.completed(this, proved);
+		else {
+			this.crashes.endedWithConnection(this);
+		}
+		this.listener.completed(this, endMarked);
 	}
 
 	/**
-	 * Return whether the response has ended with its connection, and it is being checked
-	 * that the server has not crashed.
-	 * @return whether it is
+	 * Return the status of the response.
+	 * @return the status, 0 if its head has not arrived
 	 */
-	boolean endUnderCheck() {
-		return this.endUnderCheck;
+	int status() {
+		return this.status;
 	}
 
 	@Override
