Apply a changed header limit to kept connections

Ruled out: a decoder without a limit and a count of our own, which would measure headers in a second way.

Change: CallerInput replaces the decoder before bytes are decoded if the limit has changed and no request is being read, so each request is read under one limit.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/CallerDecoder.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/CallerDecoder.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
 
 /**
  * Decodes the requests of a caller. Invariants: a request with both a content length and
@@ -17,6 +18,8 @@
 
 	private boolean headStarted;
 
+	private boolean bodyDue;
+
 	CallerDecoder(HttpDecoderConfig config) {
 		super(config);
 	}
@@ -30,11 +33,21 @@
 		return this.headStarted || actualReadableBytes() > 0;
 	}
 
+	/**
+	 * Return whether the last request has been read to its end and no byte of another one
+	 * has arrived.
+	 * @return whether no request is being read
+	 */
+	boolean betweenRequests() {
+		return !hasInput() && !this.bodyDue;
+	}
+
 	@Override
 	protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out) throws Exception {
 		super.decode(ctx, buffer, out);
 		if (!out.isEmpty()) {
 			this.headStarted = false;
+			this.bodyDue = !(out.get(out.size() - 1) instanceof LastHttpContent);
 		}
 	}
 
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
@@ -59,7 +59,7 @@
 
 	private final DirectFrontend frontend;
 
-	private final CallerDecoder decoder;
+	private final CallerInput input;
 
 	private final Deque<HttpObject> readAhead = new ArrayDeque<>();
 
@@ -82,10 +82,10 @@
 
 	private boolean closing;
 
-	DirectCaller(DirectContext context, DirectFrontend frontend, CallerDecoder decoder) {
+	DirectCaller(DirectContext context, DirectFrontend frontend, CallerInput input) {
 		this.context = context;
 		this.frontend = frontend;
-		this.decoder = decoder;
+		this.input = input;
 	}
 
 	@Override
@@ -99,7 +99,7 @@
 	 */
 	void bytesRead() {
 		if (this.exchange == null) {
-			this.wait.read(this.context.now(), this.decoder.hasInput());
+			this.wait.read(this.context.now(), this.input.hasInput());
 		}
 	}
 
@@ -269,7 +269,7 @@
 	}
 
 	private boolean markIfLast(HttpResponse response) {
-		boolean unanswered = this.decoder.hasInput() || !this.readAhead.isEmpty();
+		boolean unanswered = this.input.hasInput() || !this.readAhead.isEmpty();
 		boolean last = !this.keepAlive || this.context.draining() && !unanswered;
 		if (last) {
 			this.keepAlive = false;
@@ -290,7 +290,7 @@
 
 	private void finished(boolean last) {
 		this.exchange = null;
-		this.wait.begin(this.context.now(), this.decoder.hasInput());
+		this.wait.begin(this.context.now(), this.input.hasInput());
 		if (last) {
 			this.closing = true;
 			return;
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectFrontend.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectFrontend.java
@@ -14,7 +14,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 
@@ -33,9 +32,6 @@
 	/** Limits that apply until a configuration is known. */
 	private static final RequestLimits DEFAULT_LIMITS = new RequestLimits(16_384, 4_194_304, 3_000, 15_000);
 
-	/** Longest request line, in bytes. */
-	private static final int MAX_LINE_BYTES = 8_192;
-
 	private final DirectContext context;
 
 	private final Set<DirectCaller> callers = new HashSet<>();
@@ -88,12 +84,10 @@
 	}
 
 	private void accept(SocketChannel channel) {
-		HttpDecoderConfig config = new HttpDecoderConfig().setMaxInitialLineLength(MAX_LINE_BYTES)
-			.setMaxHeaderSize(limits().headerBytes());
-		CallerDecoder decoder = new CallerDecoder(config);
-		DirectCaller caller = new DirectCaller(this.context, this, decoder);
+		CallerInput input = new CallerInput(() -> limits().headerBytes());
+		DirectCaller caller = new DirectCaller(this.context, this, input);
 		this.callers.add(caller);
-		channel.pipeline().addLast(readRecorder(caller), decoder, responseEncoder(caller), caller);
+		channel.pipeline().addLast(readRecorder(caller, input), input.decoder(), responseEncoder(caller), caller);
 	}
 
 	private static ChannelHandler responseEncoder(DirectCaller caller) {
@@ -105,10 +99,11 @@
 		};
 	}
 
-	private static ChannelHandler readRecorder(DirectCaller caller) {
+	private static ChannelHandler readRecorder(DirectCaller caller, CallerInput input) {
 		return new ChannelInboundHandlerAdapter() {
 			@Override
 			public void channelRead(ChannelHandlerContext ctx, Object message) {
+				input.applyLimit(ctx.pipeline());
 				ctx.fireChannelRead(message);
 				caller.bytesRead();
 			}
