Let a few routers watch the backend servers

Cause: every router watched the servers in the store, so each change ended the watch of every router: calls grew with the product of routers and changes.

Ruled out: a pause before the next watch, which delays every change at every router; a vote, which needs a lease; lists that followers read from the store, which may be seconds old. The configuration is not passed on this way: each router watches it itself, so that a withdrawn key depends on no other router and a weak link does not carry it for others.

Change: WatchPolicy picks the watchers from the live routers of each failure domain, at least six in all; the others fetch what has changed from a neighbour whose message tells of it, at once, or from another failure domain after 0.4 s. A watcher that is silent for 1.5 s, leaves or is not answered by the store is replaced by its neighbours on their own. GET /state has only the changes since a revision (ServerChanges), as its whole state would grow with servers times routers.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/DirectoryPolicy.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/DirectoryPolicy.java
@@ -7,8 +7,8 @@
 public final class DirectoryPolicy {
 
 	/**
-	 * Watch timeout for each live router, in milliseconds: with it, some router of the
-	 * fleet renews its watch about once a second and passes on the changes to the others.
+	 * Watch timeout for each router that watches, in milliseconds: with it, one of them
+	 * renews its watch about once a second and passes on the changes to the others.
 	 */
 	private static final long WAIT_MS_PER_ROUTER = 1_000;
 
@@ -27,13 +27,19 @@
 	 */
 	private static final long VANISHED_HOLD_MS = 1_900;
 
+	/**
+	 * How much longer a router that does not watch keeps such an entry, in milliseconds:
+	 * it hears of the return of a server two messages later at most.
+	 */
+	public static final long FOLLOWER_HOLD_MS = 2 * ExchangePolicy.PACE_MS;
+
 	private DirectoryPolicy() {
 	}
 
 	/**
 	 * Choose the timeout of a watch. Half of it is random, so that the routers of a fleet
 	 * that starts at once do not all renew their watches at the same time.
-	 * @param routers the live routers, at least 1
+	 * @param routers the live routers that watch the same objects, at least 1
 	 * @param random a uniform number from 0.0 to below 1.0
 	 * @return the timeout in milliseconds
 	 */
--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/StateFetchPolicy.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/StateFetchPolicy.java
@@ -11,27 +11,6 @@
  */
 public final class StateFetchPolicy {
 
-	/**
-	 * How long another router may have newer state before it is fetched, in nanoseconds:
-	 * a working watch reports a change within one message interval.
-	 */
-	private static final long OUTDATED_NANOS = 400_000_000L;
-
-	/**
-	 * The same for a router without a configuration whose directory does not answer, in
-	 * nanoseconds: shorter than the message interval, so the second message starts a
-	 * fetch.
-	 */
-	private static final long STARTING_NANOS = 150_000_000L;
-
-	/**
-	 * The same for a router without a configuration whose directory answers, in
-	 * nanoseconds: long enough for a long list to arrive first. With a shorter delay, 300
-	 * routers that restarted at once asked each other meanwhile and served nothing for 30
-	 * s.
-	 */
-	private static final long LISTING_NANOS = 3_000_000_000L;
-
 	/** Pause after a failed fetch, in nanoseconds: longer than the message interval. */
 	private static final long PAUSE_NANOS = 300_000_000L;
 
@@ -48,20 +27,18 @@
 	 * router is in progress until {@link #fetchEnded}.
 	 * @param router the other router
 	 * @param newer whether it has newer state
-	 * @param configured whether this router has a configuration
-	 * @param directoryAnswers whether its directory answers
+	 * @param source where this router expects the newer state from
 	 * @param now the monotonic time in nanoseconds
 	 * @return whether to fetch its state
 	 */
-	public boolean shouldFetch(String router, boolean newer, boolean configured, boolean directoryAnswers, long now) {
+	public boolean shouldFetch(String router, boolean newer, Source source, long now) {
 		if (!newer) {
 			this.newerSince.remove(router);
 			return false;
 		}
 		long since = this.newerSince.computeIfAbsent(router, (key) -> now);
-		long delay = configured ? OUTDATED_NANOS : directoryAnswers ? LISTING_NANOS : STARTING_NANOS;
 		boolean pausing = this.failed && now - this.failedAt < PAUSE_NANOS;
-		if (this.fetching || pausing || now - since <= delay) {
+		if (this.fetching || pausing || source.tooEarly(now - since)) {
 			return false;
 		}
 		this.newerSince.remove(router);
@@ -80,4 +57,44 @@
 		this.failedAt = now;
 	}
 
+	/**
+	 * Where a router expects newer state from, which decides how long another router may
+	 * have it before it is fetched from that one.
+	 */
+	public enum Source {
+
+		/** That router, because it is a neighbour and this router does not watch. */
+		NEIGHBOUR(0),
+
+		/**
+		 * A watch of its own, or its neighbours: either of them reports a change within a
+		 * message interval.
+		 */
+		ELSEWHERE(400_000_000L),
+
+		/**
+		 * Other routers, because it has just started and its directory does not answer:
+		 * shorter than the message interval, so the second message starts a fetch.
+		 */
+		START_WITHOUT_DIRECTORY(150_000_000L),
+
+		/**
+		 * Its directory, because it has just started: long enough for a long list to
+		 * arrive first. With a shorter delay, 300 routers that restarted at once asked
+		 * each other meanwhile and served nothing for 30 s.
+		 */
+		START(3_000_000_000L);
+
+		private final long delayNanos;
+
+		Source(long delayNanos) {
+			this.delayNanos = delayNanos;
+		}
+
+		private boolean tooEarly(long newerForNanos) {
+			return this.delayNanos > 0 && newerForNanos <= this.delayNanos;
+		}
+
+	}
+
 }
--- a/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
@@ -206,10 +206,12 @@
 		this.peers.send();
 		this.context.routers(this.loads.live() + 1);
 		this.directory.routers(this.loads.live() + 1);
+		this.directory.watchServers(this.peers.watchesServers());
 	}
 
 	private PageServer.Page statePage(QueryStringDecoder query) {
-		return new PageServer.Page(200, this.directory.export(PageServer.number(query, PageServer.KNOWN_CONFIG)));
+		return new PageServer.Page(200, this.directory.export(PageServer.number(query, PageServer.KNOWN_CONFIG),
+				PageServer.number(query, PageServer.KNOWN_REVISION)));
 	}
 
 	private PageServer.Page suspectPartsPage(QueryStringDecoder query) {
--- a/server/src/main/java/org/acaciamux/internal/process/direct/Directory.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/Directory.java
@@ -24,9 +24,11 @@
 	 * @param knownConfig version of the configuration that the other router has; the
 	 * configuration is included only if it is newer, because it is by far the largest
 	 * part
+	 * @param knownRevision revision up to which the other router knows all changes of
+	 * backend servers, 0 if it knows none; if possible, only later changes are included
 	 * @return the state in the directory's own format
 	 */
-	byte[] export(long knownConfig);
+	byte[] export(long knownConfig, long knownRevision);
 
 	/**
 	 * Merge the state of another router as far as it is newer.
@@ -53,6 +55,15 @@
 	 */
 	void routers(int live);
 
+	/**
+	 * Set whether this router watches the backend servers in the directory, as it does
+	 * after the start. Otherwise other routers do, and their state is merged here. The
+	 * configuration is followed in any case, so that a withdrawn key does not depend on
+	 * another router.
+	 * @param watches whether it watches
+	 */
+	void watchServers(boolean watches);
+
 	/**
 	 * Save state that the fleet restores after a restart. A failed write is not repeated;
 	 * the next state replaces it.
--- a/server/src/main/java/org/acaciamux/internal/process/direct/PageServer.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/PageServer.java
@@ -42,6 +42,12 @@
 	 */
 	static final String KNOWN_CONFIG = "config";
 
+	/**
+	 * Query parameter of {@link #STATE_PATH}: revision up to which the client already
+	 * knows the changes of backend servers.
+	 */
+	static final String KNOWN_REVISION = "revision";
+
 	/**
 	 * Prompt parts that backend servers have cached, for routers that have just started.
 	 */
--- a/server/src/main/java/org/acaciamux/internal/process/direct/PeerDatagrams.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/PeerDatagrams.java
@@ -97,8 +97,9 @@
 				index++;
 			}
 		}
-		return new PeerMessage(message.router(), message.peer(), message.incarnation(), message.sequence(),
-				message.leaving(), message.freshness(), inFlight, crashes, leavingServers, placements, partCrashes);
+		return new PeerMessage(message.router(), message.peer(), message.domain(), message.answered(),
+				message.incarnation(), message.sequence(), message.leaving(), message.freshness(), inFlight, crashes,
+				leavingServers, placements, partCrashes);
 	}
 
 }
--- a/server/src/main/java/org/acaciamux/internal/process/direct/PeerExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/PeerExchange.java
@@ -24,6 +24,7 @@
 import org.acaciamux.internal.coordination.direct.ServerState;
 import org.acaciamux.internal.coordination.direct.ServerTable;
 import org.acaciamux.internal.coordination.direct.StateFetchPolicy;
+import org.acaciamux.internal.coordination.direct.WatchPolicy;
 import org.acaciamux.internal.event.DecisionLog;
 import org.acaciamux.internal.transport.http.PlatformHttpClient;
 import org.acaciamux.internal.transport.http.direct.DirectMetrics;
@@ -86,6 +87,8 @@
 
 	private final Endpoint self;
 
+	private final String domain;
+
 	private final long incarnation;
 
 	private final Directory directory;
@@ -108,6 +111,8 @@
 
 	private boolean leaving;
 
+	private boolean watches = true;
+
 	private boolean placementsRequested;
 
 	private byte[] page;
@@ -120,6 +125,7 @@
 		this.clock = parts.clock();
 		this.router = parts.settings().id();
 		this.self = parts.settings().peer();
+		this.domain = parts.settings().failureDomain();
 		this.log = parts.log();
 		this.incarnation = incarnation;
 		this.directory = directory;
@@ -156,9 +162,10 @@
 				inFlight.put(server.entry().id(), server.inFlight());
 			}
 		}
-		PeerMessage message = new PeerMessage(this.router, this.self.toString(), this.incarnation, ++this.sequence,
-				this.leaving, this.directory.freshness(), inFlight, this.suspects.report(),
-				this.servers.announcedDepartures(), this.placements.drain(), this.promptSuspects.report());
+		PeerMessage message = new PeerMessage(this.router, this.self.toString(), this.domain,
+				this.directory.answering(), this.incarnation, ++this.sequence, this.leaving, this.directory.freshness(),
+				inFlight, this.suspects.report(), this.servers.announcedDepartures(), this.placements.drain(),
+				this.promptSuspects.report());
 		this.socket.send(message,
 				ExchangePolicy.receivers(this.peers.values(), this.random)
 					.stream()
@@ -183,7 +190,9 @@
 			Peer sender = this.peers.get(peer.toString());
 			if (sender != null) {
 				sender.lastReceivedAt = this.clock.nanoTime();
-				fetchIfNewer(peer, message.freshness());
+				sender.domain = message.domain();
+				sender.answered = message.answered() && !message.leaving();
+				fetchIfNewer(peer, sender, message.freshness());
 				fetchPlacements(peer);
 			}
 		});
@@ -279,6 +288,23 @@
 			.count() < SAVING_ROUTERS;
 	}
 
+	/**
+	 * Return whether this router watches the directory for changes of backend servers.
+	 * @return whether it watches
+	 */
+	boolean watchesServers() {
+		long now = this.clock.nanoTime();
+		long liveNanos = livenessNanos();
+		List<WatchPolicy.Router> live = this.peers.entrySet()
+			.stream()
+			.filter((entry) -> now - entry.getValue().lastReceivedAt < liveNanos)
+			.map((entry) -> new WatchPolicy.Router(entry.getKey(), entry.getValue().domain, entry.getValue().answered))
+			.toList();
+		this.watches = WatchPolicy
+			.watches(new WatchPolicy.Router(this.self.toString(), this.domain, this.directory.answering()), live);
+		return this.watches;
+	}
+
 	private void addPlacementsByLifetime(Map<String, List<List<PromptPart>>> cached) {
 		cached.forEach((lifetime, prompts) -> this.servers.findLifetime(lifetime)
 			.ifPresent((server) -> prompts.forEach(server::addPrompt)));
@@ -299,29 +325,44 @@
 			}));
 	}
 
-	private void fetchIfNewer(Endpoint peer, Directory.Freshness peerFreshness) {
+	private void fetchIfNewer(Endpoint peer, Peer sender, Directory.Freshness peerFreshness) {
 		Directory.Freshness ownFreshness = this.directory.freshness();
 		boolean newer = peerFreshness.config() > ownFreshness.config()
 				|| peerFreshness.changed() > ownFreshness.revision();
-		if (!this.stateFetches.shouldFetch(peer.toString(), newer, ownFreshness.config() != 0,
-				this.directory.answering(), this.clock.nanoTime())) {
+		if (!this.stateFetches.shouldFetch(peer.toString(), newer, source(sender, ownFreshness),
+				this.clock.nanoTime())) {
 			return;
 		}
 		this.log.line("event=state-fetch from=" + peer + " config=" + peerFreshness.config() + " changed="
 				+ peerFreshness.changed() + " ownConfig=" + ownFreshness.config() + " ownRevision="
 				+ ownFreshness.revision() + " ownAgeMs=" + ownFreshness.ageMs());
-		fetch(peer, PageServer.STATE_PATH + "?" + PageServer.KNOWN_CONFIG + "=" + ownFreshness.config(), (state) -> {
+		String query = "?" + PageServer.KNOWN_CONFIG + "=" + ownFreshness.config() + "&" + PageServer.KNOWN_REVISION
+				+ "=" + ownFreshness.revision();
+		fetch(peer, PageServer.STATE_PATH + query, (state) -> {
 			this.stateFetches.fetchEnded(state.isPresent(), this.clock.nanoTime());
 			state.ifPresent(this.directory::merge);
 		});
 	}
 
+	private StateFetchPolicy.Source source(Peer sender, Directory.Freshness ownFreshness) {
+		if (ownFreshness.config() == 0) {
+			return this.directory.answering() ? StateFetchPolicy.Source.START
+					: StateFetchPolicy.Source.START_WITHOUT_DIRECTORY;
+		}
+		boolean neighbour = sender.domain.equals(this.domain);
+		return (neighbour && !this.watches) ? StateFetchPolicy.Source.NEIGHBOUR : StateFetchPolicy.Source.ELSEWHERE;
+	}
+
 	private static final class Peer {
 
 		private final InetSocketAddress address;
 
 		private long lastReceivedAt;
 
+		private String domain = "";
+
+		private boolean answered;
+
 		Peer(InetSocketAddress address, long now) {
 			this.address = address;
 			this.lastReceivedAt = now;
--- a/server/src/main/java/org/acaciamux/internal/process/direct/PeerMessage.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/PeerMessage.java
@@ -24,6 +24,8 @@
  *
  * @param router the sender's id
  * @param peer the endpoint at which the sender receives messages
+ * @param domain the sender's failure domain, empty if a former version sent the message
+ * @param answered whether the directory answers the sender
  * @param incarnation the incarnation of the sender's process
  * @param sequence the message's number within the incarnation
  * @param leaving whether the sender is shutting down
@@ -38,19 +40,26 @@
  * @param partCrashes crashes of servers that were running requests with a prompt part, by
  * the part
  */
-record PeerMessage(String router, String peer, long incarnation, long sequence, boolean leaving,
-		Directory.Freshness freshness, Map<String, Integer> inFlight, Map<Long, Crashes> crashes,
+record PeerMessage(String router, String peer, String domain, boolean answered, long incarnation, long sequence,
+		boolean leaving, Directory.Freshness freshness, Map<String, Integer> inFlight, Map<Long, Crashes> crashes,
 		Set<String> leavingServers, Map<String, List<List<PromptPart>>> placements,
 		Map<String, PartCrashes> partCrashes) {
 
 	/** Version of the format; a message of another version is ignored. */
 	private static final int FORMAT = 1;
 
+	/** Field that is present only while the directory does not answer the sender. */
+	private static final String UNANSWERED = "unanswered";
+
 	byte[] encode() {
 		ObjectNode node = JsonNodeFactory.instance.objectNode();
 		node.put("format", FORMAT);
 		node.put("router", this.router);
 		node.put("peer", this.peer);
+		node.put("domain", this.domain);
+		if (!this.answered) {
+			node.put(UNANSWERED, true);
+		}
 		node.put("incarnation", this.incarnation);
 		node.put("sequence", this.sequence);
 		node.put("leaving", this.leaving);
@@ -84,7 +93,8 @@
 		Set<String> leavingServers = new HashSet<>();
 		node.path("leavingServers").forEach((server) -> leavingServers.add(server.asText()));
 		return Optional.of(new PeerMessage(node.path("router").asText(), node.path("peer").asText(),
-				node.path("incarnation").asLong(), node.path("sequence").asLong(), node.path("leaving").asBoolean(),
+				node.path("domain").asText(), !node.path(UNANSWERED).asBoolean(), node.path("incarnation").asLong(),
+				node.path("sequence").asLong(), node.path("leaving").asBoolean(),
 				new Directory.Freshness(node.path("config").asLong(), node.path("revision").asLong(),
 						node.path("changed").asLong(), node.path("ageMs").asLong()),
 				loads, CrashesJson.read(node.path("crashes")), leavingServers,
--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/FleetStateTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/FleetStateTests.java
@@ -11,6 +11,8 @@
 
 import org.testng.annotations.Test;
 
+import org.acaciamux.internal.coordination.direct.StateFetchPolicy.Source;
+
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
@@ -92,30 +94,31 @@
 		for (int ms = 0; ms <= 500; ms += 50) {
 			long now = ms * 1_000_000L;
 			for (String router : List.of("a", "b", "c")) {
-				boolean fetch = stateFetches.shouldFetch(router, true, true, true, now);
+				boolean fetch = stateFetches.shouldFetch(router, true, Source.ELSEWHERE, now);
 				assertEquals(fetch, ms == 450 && router.equals("a"), router + " at " + ms + " ms");
 			}
 		}
 		stateFetches.fetchEnded(false, 600_000_000L);
-		assertFalse(stateFetches.shouldFetch("b", true, true, true, 700_000_000L));
-		assertTrue(stateFetches.shouldFetch("b", true, true, true, 950_000_000L));
+		assertFalse(stateFetches.shouldFetch("b", true, Source.ELSEWHERE, 700_000_000L));
+		assertTrue(stateFetches.shouldFetch("b", true, Source.ELSEWHERE, 950_000_000L));
 	}
 
 	@Test
 	public void stateIsNotFetchedFromARouterWithoutNewerState() {
 		StateFetchPolicy stateFetches = new StateFetchPolicy();
-		assertFalse(stateFetches.shouldFetch("a", true, true, true, 0));
-		assertFalse(stateFetches.shouldFetch("a", false, true, true, 250_000_000L));
-		assertFalse(stateFetches.shouldFetch("a", true, true, true, 500_000_000L));
+		assertFalse(stateFetches.shouldFetch("a", true, Source.ELSEWHERE, 0));
+		assertFalse(stateFetches.shouldFetch("a", false, Source.ELSEWHERE, 250_000_000L));
+		assertFalse(stateFetches.shouldFetch("a", true, Source.ELSEWHERE, 500_000_000L));
 	}
 
 	@Test
 	public void startedRouterFetchesStateEarlyOnlyIfItsDirectoryDoesNotAnswer() {
 		for (boolean answering : new boolean[] { false, true }) {
+			Source source = answering ? Source.START : Source.START_WITHOUT_DIRECTORY;
 			StateFetchPolicy stateFetches = new StateFetchPolicy();
-			assertFalse(stateFetches.shouldFetch("a", true, false, answering, 0));
-			assertEquals(stateFetches.shouldFetch("a", true, false, answering, 200_000_000L), !answering);
-			assertTrue(!answering || stateFetches.shouldFetch("a", true, false, true, 3_100_000_000L));
+			assertFalse(stateFetches.shouldFetch("a", true, source, 0));
+			assertEquals(stateFetches.shouldFetch("a", true, source, 200_000_000L), !answering);
+			assertTrue(!answering || stateFetches.shouldFetch("a", true, Source.START, 3_100_000_000L));
 		}
 	}
 
