Compress messages between routers

Most of the bytes are field names and ids of servers, and most of the messages go to other failure domains.

Change: MessagePacking compresses datagrams with a dictionary of the field names. A router does so only for receivers whose messages say that they read it, so routers of the version before are understood and understand.

--- a/server/src/main/java/org/acaciamux/internal/process/direct/PeerDatagrams.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/PeerDatagrams.java
@@ -98,8 +98,8 @@
 			}
 		}
 		return new PeerMessage(message.router(), message.peer(), message.domain(), message.answered(),
-				message.incarnation(), message.sequence(), message.leaving(), message.freshness(), inFlight, crashes,
-				leavingServers, placements, partCrashes);
+				message.unpacks(), message.incarnation(), message.sequence(), message.leaving(), message.freshness(),
+				inFlight, crashes, leavingServers, placements, partCrashes);
 	}
 
 }
--- a/server/src/main/java/org/acaciamux/internal/process/direct/PeerExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/PeerExchange.java
@@ -163,13 +163,13 @@
 			}
 		}
 		PeerMessage message = new PeerMessage(this.router, this.self.toString(), this.domain,
-				this.directory.answering(), this.incarnation, ++this.sequence, this.leaving, this.directory.freshness(),
-				inFlight, this.suspects.report(), this.servers.announcedDepartures(), this.placements.drain(),
-				this.promptSuspects.report());
+				this.directory.answering(), true, this.incarnation, ++this.sequence, this.leaving,
+				this.directory.freshness(), inFlight, this.suspects.report(), this.servers.announcedDepartures(),
+				this.placements.drain(), this.promptSuspects.report());
 		this.socket.send(message,
 				ExchangePolicy.receivers(this.peers.values(), this.random)
 					.stream()
-					.map((peer) -> peer.address)
+					.map((peer) -> new PeerSocket.Receiver(peer.address, peer.unpacks))
 					.toList());
 		this.loads.routers(this.peers.size());
 		this.servers.peersInFlight(this.loads.inFlight());
@@ -191,6 +191,7 @@
 			if (sender != null) {
 				sender.lastReceivedAt = this.clock.nanoTime();
 				sender.domain = message.domain();
+				sender.unpacks = message.unpacks();
 				sender.answered = message.answered() && !message.leaving();
 				fetchIfNewer(peer, sender, message.freshness());
 				fetchPlacements(peer);
@@ -363,6 +364,8 @@
 
 		private boolean answered;
 
+		private boolean unpacks;
+
 		Peer(InetSocketAddress address, long now) {
 			this.address = address;
 			this.lastReceivedAt = now;
--- a/server/src/main/java/org/acaciamux/internal/process/direct/PeerMessage.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/PeerMessage.java
@@ -26,6 +26,7 @@
  * @param peer the endpoint at which the sender receives messages
  * @param domain the sender's failure domain, empty if a former version sent the message
  * @param answered whether the directory answers the sender
+ * @param unpacks whether the sender reads packed datagrams
  * @param incarnation the incarnation of the sender's process
  * @param sequence the message's number within the incarnation
  * @param leaving whether the sender is shutting down
@@ -40,9 +41,9 @@
  * @param partCrashes crashes of servers that were running requests with a prompt part, by
  * the part
  */
-record PeerMessage(String router, String peer, String domain, boolean answered, long incarnation, long sequence,
-		boolean leaving, Directory.Freshness freshness, Map<String, Integer> inFlight, Map<Long, Crashes> crashes,
-		Set<String> leavingServers, Map<String, List<List<PromptPart>>> placements,
+record PeerMessage(String router, String peer, String domain, boolean answered, boolean unpacks, long incarnation,
+		long sequence, boolean leaving, Directory.Freshness freshness, Map<String, Integer> inFlight,
+		Map<Long, Crashes> crashes, Set<String> leavingServers, Map<String, List<List<PromptPart>>> placements,
 		Map<String, PartCrashes> partCrashes) {
 
 	/** Version of the format; a message of another version is ignored. */
@@ -57,6 +58,7 @@
 		node.put("router", this.router);
 		node.put("peer", this.peer);
 		node.put("domain", this.domain);
+		node.put("packs", this.unpacks);
 		if (!this.answered) {
 			node.put(UNANSWERED, true);
 		}
@@ -93,8 +95,8 @@
 		Set<String> leavingServers = new HashSet<>();
 		node.path("leavingServers").forEach((server) -> leavingServers.add(server.asText()));
 		return Optional.of(new PeerMessage(node.path("router").asText(), node.path("peer").asText(),
-				node.path("domain").asText(), !node.path(UNANSWERED).asBoolean(), node.path("incarnation").asLong(),
-				node.path("sequence").asLong(), node.path("leaving").asBoolean(),
+				node.path("domain").asText(), !node.path(UNANSWERED).asBoolean(), node.path("packs").asBoolean(),
+				node.path("incarnation").asLong(), node.path("sequence").asLong(), node.path("leaving").asBoolean(),
 				new Directory.Freshness(node.path("config").asLong(), node.path("revision").asLong(),
 						node.path("changed").asLong(), node.path("ageMs").asLong()),
 				loads, CrashesJson.read(node.path("crashes")), leavingServers,
--- a/server/src/main/java/org/acaciamux/internal/process/direct/PeerSocket.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/PeerSocket.java
@@ -48,6 +48,8 @@
 
 	private final DecisionLog log;
 
+	private final MessagePacking packing = new MessagePacking();
+
 	private Channel channel;
 
 	private boolean unreadableLogged;
@@ -75,7 +77,8 @@
 				@Override
 				protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
 					byte[] bytes = ByteBufUtil.getBytes(packet.content());
-					PeerMessage.decode(bytes)
+					PeerSocket.this.packing.unpack(bytes)
+						.flatMap(PeerMessage::decode)
 						.ifPresentOrElse(receiver, () -> unreadable(packet.sender(), bytes.length));
 				}
 
@@ -103,15 +106,17 @@
 	/**
 	 * Send a message.
 	 * @param message the message
-	 * @param receivers the addresses of the receivers
+	 * @param receivers the receivers
 	 */
-	void send(PeerMessage message, Collection<InetSocketAddress> receivers) {
+	void send(PeerMessage message, Collection<Receiver> receivers) {
 		PeerDatagrams parts = PeerDatagrams.of(message);
 		this.metrics.leftOutPeerEntries(parts.leftOut());
-		for (byte[] bytes : parts.datagrams()) {
-			for (InetSocketAddress receiver : receivers) {
-				this.channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), receiver))
-					.addListener((ChannelFuture sent) -> logFailedSend(receiver, bytes.length, sent));
+		for (byte[] plain : parts.datagrams()) {
+			byte[] packed = this.packing.pack(plain);
+			for (Receiver receiver : receivers) {
+				byte[] bytes = receiver.unpacks() ? packed : plain;
+				this.channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), receiver.address()))
+					.addListener((ChannelFuture sent) -> logFailedSend(receiver.address(), bytes.length, sent));
 			}
 		}
 		this.channel.flush();
@@ -124,4 +129,13 @@
 		}
 	}
 
+	/**
+	 * A router that a message is sent to.
+	 *
+	 * @param address its address
+	 * @param unpacks whether it has told that it reads packed datagrams
+	 */
+	record Receiver(InetSocketAddress address, boolean unpacks) {
+	}
+
 }
--- a/server/src/test/java/org/acaciamux/internal/process/direct/PeerDatagramsTests.java
+++ b/server/src/test/java/org/acaciamux/internal/process/direct/PeerDatagramsTests.java
@@ -29,8 +29,8 @@
 	private static PeerMessage message(Map<String, Integer> inFlight, Map<Long, Crashes> crashes,
 			Set<String> leavingServers, Map<String, List<List<PromptPart>>> placements,
 			Map<String, PartCrashes> partCrashes) {
-		return new PeerMessage("edge-1", "10.0.0.1:7340", "a", true, 5, 7, false, new Directory.Freshness(1, 2, 3, 4),
-				inFlight, crashes, leavingServers, placements, partCrashes);
+		return new PeerMessage("edge-1", "10.0.0.1:7340", "a", true, true, 5, 7, false,
+				new Directory.Freshness(1, 2, 3, 4), inFlight, crashes, leavingServers, placements, partCrashes);
 	}
 
 	@Test
--- a/server/src/test/java/org/acaciamux/internal/process/direct/PeerMessageTests.java
+++ b/server/src/test/java/org/acaciamux/internal/process/direct/PeerMessageTests.java
@@ -36,7 +36,7 @@
 			sender.lifetimeEnded(lifetime);
 		}
 		for (int i = 0; i < MESSAGES; i++) {
-			byte[] bytes = new PeerMessage("r-1", "10.0.0.1:7340", "a", true, 1, i, false,
+			byte[] bytes = new PeerMessage("r-1", "10.0.0.1:7340", "a", true, true, 1, i, false,
 					new Directory.Freshness(1, 1, 1, 0), Map.of(), sender.report(), Set.of(), Map.of(), Map.of())
 				.encode();
 			assertTrue(bytes.length <= MAX_BYTES, "bytes " + bytes.length);
