--- a/review/standin/Routers.java
+++ b/review/standin/Routers.java
@@ -69,10 +69,16 @@
 		builder.redirectErrorStream(true).redirectOutput(new File(log.toString()));
 		Router router = new Router(name, builder.start(), front, ready, peer, log);
 		this.all.add(router);
+		endWithThisProcess(router.process());
 		this.run.log("started router " + name + ", process " + router.process().pid());
 		return router;
 	}
 
+	/** Ends a process also if the script itself is stopped. */
+	static void endWithThisProcess(Process process) {
+		Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
+	}
+
 	private List<String> command() throws IOException {
 		String deploy = Files.readString(this.repository.resolve("deploy/system.toml"));
 		Matcher matcher = Pattern.compile("(?m)^run = \"(.*)\"$").matcher(deploy);
