Know the store's return from a copy by its era

Cause: revisions were compared as if they only rose, but after a return they are given out again. A router watched from a revision of the era before, which the new version had got, and never heard of it. The record of the case has no 410 and no list after the return. Ruled out: lost messages between routers (all had the same gap).

Change: a position is an era and a revision, in the order of the era, wherever one is compared, sent or kept. Routers tell each other the era.

--- a/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
@@ -19,6 +19,7 @@
 
 import org.acaciamux.internal.coordination.direct.CrashObserver;
 import org.acaciamux.internal.coordination.direct.CrashSuspects;
+import org.acaciamux.internal.coordination.direct.DirectoryPosition;
 import org.acaciamux.internal.coordination.direct.ExchangePolicy;
 import org.acaciamux.internal.coordination.direct.FleetLoads;
 import org.acaciamux.internal.coordination.direct.Placement;
@@ -210,8 +211,10 @@
 	}
 
 	private PageServer.Page statePage(QueryStringDecoder query) {
-		return new PageServer.Page(200, this.directory.export(PageServer.number(query, PageServer.KNOWN_CONFIG),
-				PageServer.number(query, PageServer.KNOWN_REVISION)));
+		DirectoryPosition known = new DirectoryPosition(PageServer.number(query, PageServer.KNOWN_ERA),
+				PageServer.number(query, PageServer.KNOWN_REVISION));
+		return new PageServer.Page(200,
+				this.directory.export(PageServer.number(query, PageServer.KNOWN_CONFIG), known));
 	}
 
 	private PageServer.Page suspectPartsPage(QueryStringDecoder query) {
--- a/server/src/main/java/org/acaciamux/internal/process/direct/Directory.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/Directory.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.acaciamux.internal.coordination.direct.DirectoryPosition;
 import org.acaciamux.internal.coordination.direct.ServerEntry;
 import org.acaciamux.internal.coordination.direct.TrafficConfig;
 import org.acaciamux.settings.Endpoint;
@@ -24,11 +25,11 @@
 	 * @param knownConfig version of the configuration that the other router has; the
 	 * configuration is included only if it is newer, because it is by far the largest
 	 * part
-	 * @param knownRevision revision up to which the other router knows all changes of
-	 * backend servers, 0 if it knows none; if possible, only later changes are included
+	 * @param known position up to which the other router knows all changes of backend
+	 * servers; if possible, only later changes are included
 	 * @return the state in the directory's own format
 	 */
-	byte[] export(long knownConfig, long knownRevision);
+	byte[] export(long knownConfig, DirectoryPosition known);
 
 	/**
 	 * Merge the state of another router as far as it is newer.
@@ -42,6 +43,13 @@
 	 */
 	Freshness freshness();
 
+	/**
+	 * Learn from another router that the directory has returned from an older copy. If
+	 * this router does not know of the era yet, it reads everything again.
+	 * @param era the era that the other router knows
+	 */
+	void era(long era);
+
 	/**
 	 * Return whether the directory answers this router.
 	 * @return whether the last call was answered or no call has ended yet
@@ -79,12 +87,23 @@
 	/**
 	 * How recent the known state of a directory is.
 	 *
-	 * @param config version of the newest configuration, 0 if none is known
-	 * @param revision revision of the directory up to which all changes are known
-	 * @param changed revision of the newest change of a backend server that is known
+	 * @param config version of the newest configuration, 0 if none is known; versions
+	 * rise across the eras of the directory
+	 * @param known position up to which all changes of backend servers are known
+	 * @param changed position of the newest change of a backend server that is known
 	 * @param ageMs milliseconds since the last response of the directory
 	 */
-	record Freshness(long config, long revision, long changed, long ageMs) {
+	record Freshness(long config, DirectoryPosition known, DirectoryPosition changed, long ageMs) {
+
+		/**
+		 * Return whether this state has changes that another one lacks.
+		 * @param other the other state
+		 * @return whether it has
+		 */
+		boolean hasMoreThan(Freshness other) {
+			return this.config > other.config || this.changed.isAfter(other.known);
+		}
+
 	}
 
 	/**
--- a/server/src/main/java/org/acaciamux/internal/process/direct/PageServer.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/PageServer.java
@@ -42,6 +42,11 @@
 	 */
 	static final String KNOWN_CONFIG = "config";
 
+	/**
+	 * Query parameter of {@link #STATE_PATH}: era of {@link #KNOWN_REVISION}.
+	 */
+	static final String KNOWN_ERA = "era";
+
 	/**
 	 * Query parameter of {@link #STATE_PATH}: revision up to which the client already
 	 * knows the changes of backend servers.
--- a/server/src/main/java/org/acaciamux/internal/process/direct/PeerExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/PeerExchange.java
@@ -192,7 +192,11 @@
 				sender.lastReceivedAt = this.clock.nanoTime();
 				sender.domain = message.domain();
 				sender.unpacks = message.unpacks();
-				sender.answered = message.answered() && !message.leaving();
+				// A router that has not heard of the directory's return lists no changes
+				// since.
+				boolean outdated = message.freshness().known().era() < this.directory.freshness().known().era();
+				sender.answered = message.answered() && !message.leaving() && !outdated;
+				this.directory.era(message.freshness().known().era());
 				fetchIfNewer(peer, sender, message.freshness());
 				fetchPlacements(peer);
 			}
@@ -328,17 +332,15 @@
 
 	private void fetchIfNewer(Endpoint peer, Peer sender, Directory.Freshness peerFreshness) {
 		Directory.Freshness ownFreshness = this.directory.freshness();
-		boolean newer = peerFreshness.config() > ownFreshness.config()
-				|| peerFreshness.changed() > ownFreshness.revision();
-		if (!this.stateFetches.shouldFetch(peer.toString(), newer, source(sender, ownFreshness),
-				this.clock.nanoTime())) {
+		if (!this.stateFetches.shouldFetch(peer.toString(), peerFreshness.hasMoreThan(ownFreshness),
+				source(sender, ownFreshness), this.clock.nanoTime())) {
 			return;
 		}
 		this.log.line("event=state-fetch from=" + peer + " config=" + peerFreshness.config() + " changed="
 				+ peerFreshness.changed() + " ownConfig=" + ownFreshness.config() + " ownRevision="
-				+ ownFreshness.revision() + " ownAgeMs=" + ownFreshness.ageMs());
-		String query = "?" + PageServer.KNOWN_CONFIG + "=" + ownFreshness.config() + "&" + PageServer.KNOWN_REVISION
-				+ "=" + ownFreshness.revision();
+				+ ownFreshness.known() + " ownAgeMs=" + ownFreshness.ageMs());
+		String query = "?" + PageServer.KNOWN_CONFIG + "=" + ownFreshness.config() + "&" + PageServer.KNOWN_ERA + "="
+				+ ownFreshness.known().era() + "&" + PageServer.KNOWN_REVISION + "=" + ownFreshness.known().revision();
 		fetch(peer, PageServer.STATE_PATH + query, (state) -> {
 			this.stateFetches.fetchEnded(state.isPresent(), this.clock.nanoTime());
 			state.ifPresent(this.directory::merge);
--- a/server/src/main/java/org/acaciamux/internal/process/direct/PeerMessage.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/PeerMessage.java
@@ -14,6 +14,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
 import org.acaciamux.internal.coordination.direct.CrashSuspects.Crashes;
+import org.acaciamux.internal.coordination.direct.DirectoryPosition;
 import org.acaciamux.internal.coordination.direct.PartCrashes;
 import org.acaciamux.internal.coordination.direct.PromptPart;
 import org.acaciamux.internal.protocol.JsonTrees;
@@ -66,8 +67,9 @@
 		node.put("sequence", this.sequence);
 		node.put("leaving", this.leaving);
 		node.put("config", this.freshness.config());
-		node.put("revision", this.freshness.revision());
-		node.put("changed", this.freshness.changed());
+		node.put("era", this.freshness.known().era());
+		node.put("revision", this.freshness.known().revision());
+		node.put("changed", this.freshness.changed().revision());
 		node.put("ageMs", this.freshness.ageMs());
 		ObjectNode loads = node.putObject("inFlight");
 		this.inFlight.forEach(loads::put);
@@ -97,10 +99,16 @@
 		return Optional.of(new PeerMessage(node.path("router").asText(), node.path("peer").asText(),
 				node.path("domain").asText(), !node.path(UNANSWERED).asBoolean(), node.path("packs").asBoolean(),
 				node.path("incarnation").asLong(), node.path("sequence").asLong(), node.path("leaving").asBoolean(),
-				new Directory.Freshness(node.path("config").asLong(), node.path("revision").asLong(),
-						node.path("changed").asLong(), node.path("ageMs").asLong()),
-				loads, CrashesJson.read(node.path("crashes")), leavingServers,
+				freshness(node), loads, CrashesJson.read(node.path("crashes")), leavingServers,
 				PlacementsJson.read(node.path("placements")), PartCrashesJson.read(node.path("partCrashes"))));
 	}
 
+	// A message of a former version has no era, so its state is never newer than that of
+	// a directory that tells its era.
+	private static Directory.Freshness freshness(JsonNode node) {
+		DirectoryPosition known = new DirectoryPosition(node.path("era").asLong(), node.path("revision").asLong());
+		return new Directory.Freshness(node.path("config").asLong(), known, known.at(node.path("changed").asLong()),
+				node.path("ageMs").asLong());
+	}
+
 }
--- a/server/src/main/java/org/acaciamux/internal/transport/http/PlatformHttpClient.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/PlatformHttpClient.java
@@ -27,6 +27,7 @@
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
@@ -221,9 +222,10 @@
 		 * A complete response arrived.
 		 *
 		 * @param status the HTTP status
+		 * @param headers the headers
 		 * @param body the body
 		 */
-		record Response(int status, byte[] body) implements Reply {
+		record Response(int status, HttpHeaders headers, byte[] body) implements Reply {
 		}
 
 		/**
@@ -338,7 +340,8 @@
 				return;
 			}
 			boolean reusable = this.current != null && HttpUtil.isKeepAlive(response);
-			Reply reply = new Reply.Response(response.status().code(), ByteBufUtil.getBytes(response.content()));
+			Reply reply = new Reply.Response(response.status().code(), response.headers(),
+					ByteBufUtil.getBytes(response.content()));
 			if (reusable) {
 				this.timeout.cancel(false);
 				Call ended = this.current;
--- a/server/src/test/java/org/acaciamux/internal/process/direct/MessagePackingTests.java
+++ b/server/src/test/java/org/acaciamux/internal/process/direct/MessagePackingTests.java
@@ -9,6 +9,8 @@
 
 import org.testng.annotations.Test;
 
+import org.acaciamux.internal.coordination.direct.DirectoryPosition;
+
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertSame;
@@ -38,7 +40,8 @@
 		}
 		return new PeerMessage("edge-tw-north-a-" + seed, "10.0.0." + seed + ":7340", "tw-north-a", true, true,
 				random.nextLong(1L << 40), random.nextInt(1 << 16), false,
-				new Directory.Freshness(17, 4_711, 4_700, 31), inFlight, Map.of(), Set.of(), Map.of(), Map.of());
+				new Directory.Freshness(17, new DirectoryPosition(2, 4_711), new DirectoryPosition(2, 4_700), 31),
+				inFlight, Map.of(), Set.of(), Map.of(), Map.of());
 	}
 
 	@Test
--- a/server/src/test/java/org/acaciamux/internal/process/direct/PeerDatagramsTests.java
+++ b/server/src/test/java/org/acaciamux/internal/process/direct/PeerDatagramsTests.java
@@ -12,6 +12,7 @@
 import org.testng.annotations.Test;
 
 import org.acaciamux.internal.coordination.direct.CrashSuspects.Crashes;
+import org.acaciamux.internal.coordination.direct.DirectoryPosition;
 import org.acaciamux.internal.coordination.direct.PartCrashes;
 import org.acaciamux.internal.coordination.direct.PromptPart;
 
@@ -30,7 +31,8 @@
 			Set<String> leavingServers, Map<String, List<List<PromptPart>>> placements,
 			Map<String, PartCrashes> partCrashes) {
 		return new PeerMessage("edge-1", "10.0.0.1:7340", "a", true, true, 5, 7, false,
-				new Directory.Freshness(1, 2, 3, 4), inFlight, crashes, leavingServers, placements, partCrashes);
+				new Directory.Freshness(1, new DirectoryPosition(5, 2), new DirectoryPosition(5, 3), 4), inFlight,
+				crashes, leavingServers, placements, partCrashes);
 	}
 
 	@Test
--- a/server/src/test/java/org/acaciamux/internal/process/direct/PeerMessageTests.java
+++ b/server/src/test/java/org/acaciamux/internal/process/direct/PeerMessageTests.java
@@ -1,5 +1,6 @@
 package org.acaciamux.internal.process.direct;
 
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Set;
 
@@ -7,7 +8,10 @@
 
 import org.acaciamux.internal.coordination.direct.CrashObserver;
 import org.acaciamux.internal.coordination.direct.CrashSuspects;
+import org.acaciamux.internal.coordination.direct.DirectoryPosition;
 
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 /**
@@ -37,7 +41,8 @@
 		}
 		for (int i = 0; i < MESSAGES; i++) {
 			byte[] bytes = new PeerMessage("r-1", "10.0.0.1:7340", "a", true, true, 1, i, false,
-					new Directory.Freshness(1, 1, 1, 0), Map.of(), sender.report(), Set.of(), Map.of(), Map.of())
+					new Directory.Freshness(1, DirectoryPosition.NONE, DirectoryPosition.NONE, 0), Map.of(),
+					sender.report(), Set.of(), Map.of(), Map.of())
 				.encode();
 			assertTrue(bytes.length <= MAX_BYTES, "bytes " + bytes.length);
 			PeerMessage.decode(bytes).orElseThrow().crashes().forEach(receiver::merge);
@@ -47,4 +52,34 @@
 		}
 	}
 
+	/**
+	 * Revisions are given out again in a new era, so a message that does not tell the era
+	 * would look newer or older than it is.
+	 */
+	@Test
+	public void positionOfTheDirectoryArrivesWithItsEra() {
+		Directory.Freshness sent = new Directory.Freshness(7, new DirectoryPosition(3, 20),
+				new DirectoryPosition(3, 18), 4);
+		PeerMessage message = new PeerMessage("r-1", "10.0.0.1:7340", "a", true, true, 1, 1, false, sent, Map.of(),
+				Map.of(), Set.of(), Map.of(), Map.of());
+		Directory.Freshness received = PeerMessage.decode(message.encode()).orElseThrow().freshness();
+		assertEquals(received, sent);
+		Directory.Freshness earlier = new Directory.Freshness(7, new DirectoryPosition(2, 900),
+				new DirectoryPosition(2, 900), 4);
+		assertTrue(received.hasMoreThan(earlier));
+		assertFalse(earlier.hasMoreThan(received));
+	}
+
+	@Test
+	public void messageOfAFormerVersionHasNoChangesOfALaterEra() {
+		String former = "{\"format\":1,\"router\":\"r-1\",\"config\":7,\"revision\":900,\"changed\":900}";
+		Directory.Freshness received = PeerMessage.decode(former.getBytes(StandardCharsets.UTF_8))
+			.orElseThrow()
+			.freshness();
+		Directory.Freshness own = new Directory.Freshness(7, new DirectoryPosition(1, 20), new DirectoryPosition(1, 18),
+				4);
+		assertFalse(received.hasMoreThan(own));
+		assertTrue(received.hasMoreThan(new Directory.Freshness(6, own.known(), own.changed(), 4)));
+	}
+
 }
