Tie an announced departure to the lifetime that is listed

Cause: a connection kept the lifetime that the directory listed when it was opened. The directory lists a restart only after the server has reported it, so connections opened in between belonged to the former lifetime for as long as they were reused, and the announcement was noted for that one.

Change: a connection belongs to the lifetime listed when its last request was sent, and is not reused in another one. An announcement in a response that the listing overtook counts for both lifetimes.

Why it works: a response to a request that was sent after the listing comes from the listed lifetime, because the former one ended before.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
@@ -26,7 +26,8 @@
  * One connection to a backend server, which carries one request at a time. Invariants: a
  * response reaches the listener only if it carries the attempt id of the current request;
  * its end is reported only if nothing shows that a part of it is missing; a connection on
- * which anything unexpected arrived is not used again. Confined to the event loop.
+ * which anything unexpected arrived is not used again, nor one to a former lifetime of
+ * its server. Confined to the event loop.
  */
 final class ServerChannel extends SimpleChannelInboundHandler<HttpObject> {
 
@@ -57,8 +58,12 @@
 
 	private final String serverId;
 
-	/** The server's lifetime that the directory listed when the connection was opened. */
-	private final String lifetime;
+	/**
+	 * The server's lifetime that the directory listed when the connection was opened or
+	 * last used. The directory lists a restart late, so a connection that was opened
+	 * shortly before may lead to a later lifetime.
+	 */
+	private String lifetime;
 
 	private final WireFormat format;
 
@@ -117,7 +122,8 @@
 	}
 
 	boolean usable(long now) {
-		return this.channel.isActive() && this.reusable && (now - this.idleSince) / NANOS_PER_MS < this.keepAliveMs;
+		return this.channel.isActive() && this.reusable && (now - this.idleSince) / NANOS_PER_MS < this.keepAliveMs
+				&& this.owner.lifetime(this.serverId).map(this.lifetime::equals).orElse(true);
 	}
 
 	/**
@@ -138,6 +144,7 @@
 	 */
 	void send(FullHttpRequest request, String attempt, boolean events, ServerListener receiver) {
 		this.listener = receiver;
+		this.lifetime = this.owner.lifetime(this.serverId).orElse(this.lifetime);
 		this.attemptId = attempt;
 		this.method = request.method();
 		this.eventsExpected = events;
@@ -205,7 +212,7 @@
 		WireFormat.ServerReply reply = this.format.reply(response);
 		// A misdirected request was answered by another server.
 		if (reply.leaving() && !response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
-			this.owner.leaving(this.lifetime);
+			announced();
 		}
 		if (response.status().code() < 200) {
 			skipResponse();
@@ -232,6 +239,15 @@
 		this.listener.head(response, reply);
 	}
 
+	// If the directory has listed a restart since the request was sent, the connection
+	// may have been opened after it, so neither of the lifetimes gets new requests.
+	private void announced() {
+		this.owner.leaving(this.lifetime);
+		this.owner.lifetime(this.serverId)
+			.filter((listed) -> !listed.equals(this.lifetime))
+			.ifPresent(this.owner::leaving);
+	}
+
 	private void skipResponse() {
 		this.skippingResponse = true;
 		if (++this.skippedResponses > MAX_SKIPPED_RESPONSES) {
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannels.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannels.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.IntUnaryOperator;
@@ -194,6 +195,15 @@
 		this.servers.received(serverId, now());
 	}
 
+	/**
+	 * Return the lifetime of a server that the directory lists.
+	 * @param serverId the server's id
+	 * @return the lifetime, empty if the server is not listed
+	 */
+	Optional<String> lifetime(String serverId) {
+		return this.servers.find(serverId).map((server) -> server.entry().lifetime());
+	}
+
 	/**
 	 * Record that a response announced that its server leaves.
 	 * @param lifetime the server's lifetime
