Read each value of a text apart from the others

Running routers learned of no change.

Cause: a list or a watch is one JSON text with the objects of many writers, and one value could make it unreadable: lists nested 950 deep overflowed the event loop's stack, and the parser's limits refused long numbers and names and bytes that are not UTF-8. Other values could be read and not written for another router.

Change: JsonTrees reads such values as null, skips what is nested deeper than 100 levels without recursion and replaces characters. The object API of the daemon with agents reads with it, too. Fingerprints that are no number are left out.

Why it works: all texts of the platform and of other routers go through this reader, and no value of an object can end it.

--- a/server/src/main/java/org/acaciamux/internal/coordination/platform/PlatformJson.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/platform/PlatformJson.java
@@ -13,6 +13,7 @@
 import com.fasterxml.jackson.databind.node.MissingNode;
 
 import org.acaciamux.internal.BrokenInvariant;
+import org.acaciamux.internal.protocol.JsonTrees;
 
 /**
  * Reads and writes the JSON of the platform's APIs. Thread-safe; holds no state.
@@ -35,7 +36,7 @@
 
 	static JsonNode parse(byte[] body) {
 		try {
-			return mapper.readTree(body);
+			return JsonTrees.read(body);
 		}
 		catch (IOException ex) {
 			return MissingNode.getInstance();
--- a/server/src/main/java/org/acaciamux/internal/process/direct/CrashesJson.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/CrashesJson.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.regex.Pattern;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -20,6 +21,8 @@
 
 	private static final int RADIX = 16;
 
+	private static final Pattern FINGERPRINT = Pattern.compile("[0-9a-f]{1,16}");
+
 	private CrashesJson() {
 	}
 
@@ -42,6 +45,8 @@
 	static Map<Long, Crashes> read(JsonNode node) {
 		Map<Long, Crashes> crashes = new HashMap<>();
 		node.properties()
+			.stream()
+			.filter((entry) -> FINGERPRINT.matcher(entry.getKey()).matches())
 			.forEach((entry) -> crashes.put(Long.parseUnsignedLong(entry.getKey(), RADIX), readOne(entry.getValue())));
 		return crashes;
 	}
--- a/server/src/test/java/org/acaciamux/internal/coordination/platform/HttpObjectStoreTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/platform/HttpObjectStoreTests.java
@@ -80,6 +80,19 @@
 				"7 {\"x\":1} [GET /v1/objects/K/a%20b HTTP/1.1]");
 	}
 
+	/**
+	 * A list has objects of many writers.
+	 */
+	@Test
+	public void anObjectThatCannotBeReadSpoilsNoOther() {
+		String deep = "{\"kind\":\"K\",\"name\":\"b\",\"version\":8,\"value\":" + "[".repeat(5_000) + "]".repeat(5_000)
+				+ "}";
+		String big = "{\"kind\":\"K\",\"name\":\"c\",\"version\":9,\"value\":" + "7".repeat(2_000) + "}";
+		respond(200, "{\"revision\":9,\"items\":[" + deep + "," + big + "," + OBJECT + "]}");
+		List<StoredObject> objects = await(this.store.list("K")).get().items();
+		assertEquals(objects.stream().map(StoredObject::name).toList(), List.of("b", "c", "a b"));
+	}
+
 	@Test
 	public void aConflictCarriesTheCurrentObject() {
 		respond(409, OBJECT);
