Go on after a response whose processing throws

Reading alone does not explain that the list was never asked for again.

Cause: an error left the callback of a call, and the future swallowed it. Nothing was logged, and no further list or watch was made until the process ended. Periodic tasks of a router ended in the same way with an error; the daemon with agents kept a watch outstanding for good if its answer could not be applied, and a call without a result if a reader threw.

Change: GuardedTask hands what a task throws to a handler. PlatformSync counts an answer that cannot be applied as a failed call, and each call of the object API and the VM list has a result.

--- a/server/src/main/java/org/acaciamux/internal/coordination/configuration/PlatformSync.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/configuration/PlatformSync.java
@@ -132,7 +132,21 @@
 		this.state.parts()
 			.store()
 			.list(kind)
-			.thenAccept((result) -> this.state.tasks().post(() -> onListed(index, kind, result)));
+			.thenAccept((result) -> post("list " + kind, () -> onListed(index, kind, result)));
+	}
+
+	// A result that cannot be applied must not leave the call outstanding for good.
+	private void post(String call, Runnable handler) {
+		this.state.tasks().post(() -> {
+			try {
+				handler.run();
+			}
+			catch (RuntimeException | Error ex) {
+				onFailure(call, new StoreFailure(StoreFailure.Kind.NO_ANSWER,
+						"The answer of the platform cannot be applied: " + ex, Optional.empty()));
+				throw ex;
+			}
+		});
 	}
 
 	private void onListed(int index, String kind, Either<StoreFailure, Listing> result) {
@@ -175,7 +189,7 @@
 		this.state.parts()
 			.store()
 			.watch(Set.copyOf(RecordKinds.WATCHED), after, this.state.settings().watchTimeoutMs())
-			.thenAccept((result) -> this.state.tasks().post(() -> onWatched(after, result)));
+			.thenAccept((result) -> post("watch", () -> onWatched(after, result)));
 	}
 
 	private void onWatched(long after, Either<StoreFailure, Changes> result) {
--- a/server/src/main/java/org/acaciamux/internal/coordination/platform/HttpObjectStore.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/platform/HttpObjectStore.java
@@ -87,7 +87,7 @@
 		String uri = "/v1/watch?kinds=" + list + "&after=" + afterRevision + "&timeoutMs=" + waitMs;
 		return this.client.call(HttpMethod.GET, uri, NO_BODY, waitMs + WATCH_MARGIN_MS).thenApply((reply) -> {
 			this.budget.watchEnded();
-			return PlatformReplies.json(reply).map(HttpObjectStore::changes);
+			return PlatformReplies.read(reply, (body) -> Either.right(changes(body)));
 		});
 	}
 
@@ -97,7 +97,7 @@
 			return overBudget();
 		}
 		return this.client.call(method, uri, body, this.timeoutMs)
-			.thenApply((reply) -> PlatformReplies.json(reply).flatMap(reader));
+			.thenApply((reply) -> PlatformReplies.read(reply, reader));
 	}
 
 	private static <T> CompletionStage<Either<StoreFailure, T>> overBudget() {
--- a/server/src/main/java/org/acaciamux/internal/coordination/platform/HttpVmDirectory.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/platform/HttpVmDirectory.java
@@ -43,7 +43,7 @@
 				.unavailable("The VM list was not read because this process has used up its budget of platform calls"));
 		}
 		return this.client.call(HttpMethod.GET, "/v1/vms", NO_BODY, this.timeoutMs)
-			.thenApply((reply) -> PlatformReplies.json(reply).map(HttpVmDirectory::vms));
+			.thenApply((reply) -> PlatformReplies.read(reply, (body) -> Either.right(vms(body))));
 	}
 
 	private static VmList vms(JsonNode body) {
--- a/server/src/main/java/org/acaciamux/internal/coordination/platform/PlatformReplies.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/platform/PlatformReplies.java
@@ -1,6 +1,7 @@
 package org.acaciamux.internal.coordination.platform;
 
 import java.util.Optional;
+import java.util.function.Function;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.vavr.control.Either;
@@ -46,6 +47,23 @@
 		return Either.right(body);
 	}
 
+	/**
+	 * Read a reply. A reader that throws does not leave the call without a result, for
+	 * which its caller would wait for good.
+	 * @param <T> the type of the value
+	 * @param reply the reply
+	 * @param reader reads the body
+	 * @return the value or the failure
+	 */
+	static <T> Either<StoreFailure, T> read(Reply reply, Function<JsonNode, Either<StoreFailure, T>> reader) {
+		try {
+			return json(reply).flatMap(reader);
+		}
+		catch (RuntimeException | Error ex) {
+			return failure(Kind.NO_ANSWER, "The answer of the platform cannot be read: " + ex);
+		}
+	}
+
 	static Either<StoreFailure, StoredObject> object(JsonNode body) {
 		return PlatformJson.object(body)
 			.<Either<StoreFailure, StoredObject>>map(Either::right)
--- a/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
@@ -32,6 +32,7 @@
 import org.acaciamux.internal.event.DecisionLog;
 import org.acaciamux.internal.process.MetricsText;
 import org.acaciamux.internal.protocol.JsonTrees;
+import org.acaciamux.internal.state.GuardedTask;
 import org.acaciamux.internal.transport.http.direct.DirectContext;
 import org.acaciamux.internal.transport.http.direct.DirectFrontend;
 import org.acaciamux.internal.transport.http.direct.DirectMetrics;
@@ -193,14 +194,9 @@
 	}
 
 	private void schedule(long ms, Runnable task) {
-		this.loop.scheduleWithFixedDelay(() -> {
-			try {
-				task.run();
-			}
-			catch (RuntimeException ex) {
-				this.log.line("event=periodic-task-failed reason=\"" + ex + "\"");
-			}
-		}, ms, ms, TimeUnit.MILLISECONDS);
+		this.loop.scheduleWithFixedDelay(
+				new GuardedTask(task, (ex) -> this.log.line("event=periodic-task-failed reason=\"" + ex + "\"")), ms,
+				ms, TimeUnit.MILLISECONDS);
 	}
 
 	private void exchangeState() {
--- a/server/src/main/java/org/acaciamux/internal/transport/peer/NettyPeerLink.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/peer/NettyPeerLink.java
@@ -17,6 +17,7 @@
 import org.acaciamux.internal.protocol.wire.Frame;
 import org.acaciamux.internal.protocol.wire.Ping;
 import org.acaciamux.internal.protocol.wire.Pong;
+import org.acaciamux.internal.state.GuardedTask;
 import org.acaciamux.internal.state.OrderedTasks;
 
 /**
@@ -72,7 +73,7 @@
 	public void handlerAdded(ChannelHandlerContext ctx) {
 		this.context.metrics.links.inc();
 		EventLog.log(PeerEvent.LINK_OPENED, this.peer.id(), this.peer.version());
-		this.ticker = ctx.executor().scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+		this.ticker = ctx.executor().scheduleWithFixedDelay(guardedTick(), TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
 	}
 
 	@Override
@@ -157,6 +158,10 @@
 		}
 	}
 
+	private GuardedTask guardedTick() {
+		return new GuardedTask(this::tick, (ex) -> close("a periodic check failed: " + ex));
+	}
+
 	private void tick() {
 		if (!this.channel.config().isAutoRead()) {
 			resumeReading();
--- a/server/src/test/java/org/acaciamux/internal/coordination/configuration/ConfigurationSyncTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/configuration/ConfigurationSyncTests.java
@@ -20,6 +20,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
 /**
@@ -63,6 +64,25 @@
 		assertEquals(fleet.weight("vm1", "big"), 3);
 	}
 
+	/**
+	 * The call stayed outstanding, so the process never called the platform again.
+	 */
+	@Test
+	public void aWatchGoesOnAfterAnAnswerThatCannotBeApplied() {
+		SimulatedFleet fleet = new SimulatedFleet(3, 1, 1);
+		fleet.write("big", 2);
+		fleet.time.runFor(10_000);
+		fleet.platform.breakNextWatch = true;
+		assertThrows(NullPointerException.class, () -> {
+			fleet.write("big", 3);
+			fleet.time.runFor(60_000);
+		});
+		fleet.time.runFor(60_000);
+		fleet.write("big", 4);
+		fleet.time.runFor(10_000);
+		assertEquals(fleet.weight("vm0", "big"), 4);
+	}
+
 	@Test
 	public void aDeletionOutlivesAPeerThatLaggedLongerThanTombstonesAreKept() {
 		SimulatedFleet fleet = new SimulatedFleet(2, 4, 1);
--- a/server/src/test/java/org/acaciamux/internal/coordination/configuration/FakePlatform.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/configuration/FakePlatform.java
@@ -52,6 +52,9 @@
 
 	private final List<Runnable> waiting = new ArrayList<>();
 
+	/** Whether the next watch gets a change that cannot be applied. */
+	boolean breakNextWatch;
+
 	private long revision;
 
 	private long forgottenThrough;
@@ -115,6 +118,10 @@
 		return result;
 	}
 
+	private static List<Change> unusable() {
+		return List.of(new Change(false, new StoredObject("BackendPool", "none", 1, null)));
+	}
+
 	private void awaitChanges(Set<String> kinds, long after, long end,
 			CompletableFuture<Either<StoreFailure, Changes>> result) {
 		if (result.isDone()) {
@@ -130,7 +137,8 @@
 			result.complete(failure(Kind.COMPACTED));
 		}
 		else if (!changes.isEmpty() || this.time.nowMs() >= end) {
-			Changes answer = new Changes(this.revision, changes);
+			Changes answer = new Changes(this.revision, this.breakNextWatch ? unusable() : changes);
+			this.breakNextWatch = false;
 			this.time.after(delay(), () -> result.complete(Either.right(answer)));
 		}
 		else {
