Write log lines whole, and count those whose write failed

What was seen: a router's log had no line for a leaving server, because a batch of 39 lines was cut after 8 KB in the middle of a line; log-lines-dropped did not count the rest. So the log could not tell whether the router knew.

Cause: a batch was one write, and PrintStream hides a failed write.

Change: writes hold whole lines of 4 KB at most, and lines whose write failed are counted.

--- a/server/src/main/java/org/acaciamux/internal/event/DecisionLog.java
+++ b/server/src/main/java/org/acaciamux/internal/event/DecisionLog.java
@@ -1,6 +1,8 @@
 package org.acaciamux.internal.event;
 
-import java.io.PrintStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -13,14 +15,21 @@
 
 /**
  * Writes one structured line for each decision, in a background thread. Invariants:
- * {@link #line} never blocks; at most {@link #CAPACITY} lines wait, further ones are
- * dropped, and the next write reports how many. Thread-safe.
+ * {@link #line} never blocks; at most {@link #CAPACITY} lines wait; each write holds
+ * whole lines; lines that do not fit or whose write fails are counted, and a later write
+ * reports how many. Thread-safe.
  */
 public final class DecisionLog implements AutoCloseable {
 
 	/** Maximum number of waiting lines; at 200 bytes a line they occupy 400 KB. */
 	static final int CAPACITY = 2_048;
 
+	/**
+	 * Longest write of several lines, in bytes: a pipe takes it whole or not at all. A
+	 * longer batch may be cut in the middle of a line.
+	 */
+	static final int MAX_WRITE_BYTES = 4_096;
+
 	/** Pause between two batches, in milliseconds: limits the number of writes. */
 	private static final long BATCH_INTERVAL_MS = 100;
 
@@ -30,7 +39,7 @@
 
 	private static final long NANOS_PER_MS = 1_000_000;
 
-	private final PrintStream out;
+	private final OutputStream out;
 
 	private final NanoClock clock;
 
@@ -46,7 +55,7 @@
 	 * @param clock the monotonic clock, for intervals
 	 * @param time the wall clock, for the time at the start of each line
 	 */
-	public DecisionLog(PrintStream out, NanoClock clock, EpochClock time) {
+	public DecisionLog(OutputStream out, NanoClock clock, EpochClock time) {
 		this.out = out;
 		this.clock = clock;
 		this.time = time;
@@ -84,16 +93,36 @@
 
 	private void flush(List<String> batch) {
 		this.waiting.drainTo(batch);
-		StringBuilder text = new StringBuilder();
-		batch.forEach((line) -> text.append(line).append('\n'));
-		batch.clear();
 		long lost = this.dropped.getAndSet(0);
 		if (lost > 0) {
-			text.append("event=log-lines-dropped count=").append(lost).append('\n');
+			batch.add("event=log-lines-dropped count=" + lost);
+		}
+		ByteArrayOutputStream chunk = new ByteArrayOutputStream(MAX_WRITE_BYTES);
+		int lines = 0;
+		for (String line : batch) {
+			byte[] bytes = (line + '\n').getBytes(StandardCharsets.UTF_8);
+			if (lines > 0 && chunk.size() + bytes.length > MAX_WRITE_BYTES) {
+				write(chunk, lines);
+				lines = 0;
+			}
+			chunk.writeBytes(bytes);
+			lines++;
+		}
+		if (lines > 0) {
+			write(chunk, lines);
+		}
+		batch.clear();
+	}
+
+	private void write(ByteArrayOutputStream chunk, int lines) {
+		try {
+			this.out.write(chunk.toByteArray(), 0, chunk.size());
+			this.out.flush();
+		}
+		catch (IOException ex) {
+			this.dropped.addAndGet(lines);
 		}
-		byte[] bytes = text.toString().getBytes(StandardCharsets.UTF_8);
-		this.out.write(bytes, 0, bytes.length);
-		this.out.flush();
+		chunk.reset();
 	}
 
 	/**
--- a/server/src/test/java/org/acaciamux/internal/event/DecisionLogTests.java
+++ b/server/src/test/java/org/acaciamux/internal/event/DecisionLogTests.java
@@ -1,12 +1,15 @@
 package org.acaciamux.internal.event;
 
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.util.concurrent.CountDownLatch;
 
 import org.testng.annotations.Test;
 
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 /**
@@ -14,6 +17,9 @@
  */
 public class DecisionLogTests {
 
+	/** What a pipe takes in one write, in bytes. */
+	private static final int PIPE_BYTES = 8_192;
+
 	@Test
 	public void linesBeyondTheCapacityAreDroppedAndCounted() throws InterruptedException {
 		CountDownLatch reader = new CountDownLatch(1);
@@ -43,6 +49,61 @@
 		log.close();
 	}
 
+	/**
+	 * A pipe may take only the beginning of a long write, so a line in its middle was cut
+	 * and the lines after it were missing without notice.
+	 */
+	@Test
+	public void batchThatIsLongerThanAPipeTakesIsWrittenInWholeLines() {
+		ByteArrayOutputStream written = new ByteArrayOutputStream();
+		DecisionLog log = new DecisionLog(new OutputStream() {
+			@Override
+			public void write(int b) {
+				throw new UnsupportedOperationException("lines are written as arrays");
+			}
+
+			@Override
+			public void write(byte[] bytes, int off, int len) {
+				written.write(bytes, off, Math.min(len, PIPE_BYTES));
+			}
+		}, () -> 0, () -> 0);
+		String text = "event=test text=" + "x".repeat(200);
+		for (int i = 0; i < 100; i++) {
+			log.line(text);
+		}
+		log.close();
+		assertEquals(written.toString().lines().filter((line) -> line.endsWith(text)).count(), 100);
+	}
+
+	@Test
+	public void linesWhoseWriteFailsAreCounted() throws InterruptedException {
+		ByteArrayOutputStream written = new ByteArrayOutputStream();
+		DecisionLog log = new DecisionLog(new OutputStream() {
+			private boolean failed;
+
+			@Override
+			public void write(int b) {
+				throw new UnsupportedOperationException("lines are written as arrays");
+			}
+
+			@Override
+			public void write(byte[] bytes, int off, int len) throws IOException {
+				if (!this.failed) {
+					this.failed = true;
+					throw new IOException("no room");
+				}
+				written.write(bytes, off, len);
+			}
+		}, () -> 0, () -> 0);
+		log.line("event=lost");
+		while (!written.toString().contains("event=log-lines-dropped")) {
+			log.line("event=more");
+			Thread.sleep(10);
+		}
+		log.close();
+		assertFalse(written.toString().contains("event=lost"), written.toString());
+	}
+
 	private static void await(CountDownLatch latch) {
 		try {
 			latch.await();
