Tell the other routers of a server that the directory shows as leaving

What callers would see: requests to a leaving server from a router whose watch is silent, until it has fetched the state of another router (DRAIN).

Cause: messages named only servers whose departure the directory did not show yet. One that it shows reached a router with a silent watch through a fetch alone, which waits for the own watch first and may fail.

Change: for 2 s messages name such servers, too, so the other routers know of it after one message.

otherRoutersAreToldOfAServerThatTheDirectoryShowsAsLeaving failed on: 13 requests reached the server later than a second after its announcement.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/Departures.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/Departures.java
@@ -45,6 +45,17 @@
 		return added;
 	}
 
+	/**
+	 * Return whether a lifetime was announced a short time ago.
+	 * @param lifetime the lifetime
+	 * @param nanos how long ago at most, in nanoseconds
+	 * @return whether it was
+	 */
+	boolean announcedWithin(String lifetime, long nanos) {
+		Long at = this.announced.get(lifetime);
+		return at != null && this.clock.nanoTime() - at < nanos;
+	}
+
 	boolean contains(String lifetime) {
 		return this.announced.containsKey(lifetime);
 	}
--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/ServerTable.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/ServerTable.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 
 import org.agrona.concurrent.NanoClock;
@@ -19,6 +20,13 @@
  */
 public final class ServerTable {
 
+	/**
+	 * How long the other routers are told of a departure that the directory shows, in
+	 * nanoseconds: several messages, also in a large fleet in which not every message
+	 * reaches every router.
+	 */
+	private static final long TELL_NANOS = TimeUnit.SECONDS.toNanos(2);
+
 	private final NanoClock clock;
 
 	private final Map<String, ServerState> servers = new HashMap<>();
@@ -110,15 +118,17 @@
 	}
 
 	/**
-	 * List the servers that leave although the directory does not show it yet, to tell
-	 * the other routers.
+	 * List the servers that leave, to tell the other routers: those that the directory
+	 * does not show as leaving yet, and those of which it told a short time ago, because
+	 * it may be silent at another router.
 	 * @return their lifetimes
 	 */
 	public Set<String> announcedDepartures() {
 		return this.servers.values()
 			.stream()
 			.map(ServerState::entry)
-			.filter((entry) -> !entry.draining() && leaves(entry))
+			.filter((entry) -> entry.draining() ? this.departures.announcedWithin(entry.lifetime(), TELL_NANOS)
+					: leaves(entry))
 			.map(ServerEntry::lifetime)
 			.collect(Collectors.toSet());
 	}
--- a/server/src/main/java/org/acaciamux/internal/process/direct/PeerMessage.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/PeerMessage.java
@@ -35,8 +35,8 @@
  * @param inFlight the sender's requests by backend server id
  * @param crashes servers that crashed while they ran a request, by the fingerprint of the
  * request
- * @param leavingServers lifetimes of backend servers that leave although the directory
- * does not show it yet
+ * @param leavingServers lifetimes of backend servers that leave, unless the directory has
+ * shown it for some time
  * @param placements shared parts of the prompts sent since the last message, by backend
  * server id
  * @param partCrashes crashes of servers that were running requests with a prompt part, by
