Hold the waits for a change that other routers tell against one budget

What callers saw or would see: a version or a departure that reaches a router with a silent watch later than 2,000 ms (CONFIG, DRAIN).

Cause: no place added up the waits on this way. A message (250 ms), the wait for the own watch (500), a fetch that fails (800), the pause after it with the next message (550) and a fetch (100 and more) come to 2,200 ms with the sum's shares.

Change: ChangeBudget names the bound and the share of each wait, and the waits are its constants.

--- a/server/src/main/java/org/acaciamux/internal/process/direct/PeerExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/PeerExchange.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import org.agrona.concurrent.NanoClock;
 
+import org.acaciamux.internal.coordination.direct.ChangeBudget;
 import org.acaciamux.internal.coordination.direct.CrashSuspects;
 import org.acaciamux.internal.coordination.direct.ExchangePolicy;
 import org.acaciamux.internal.coordination.direct.FleetLoads;
@@ -45,12 +46,6 @@
 	 */
 	private static final long FORGET_PEER_NANOS = 30_000_000_000L;
 
-	/**
-	 * Timeout for fetching the state of another router, in milliseconds: twice the time
-	 * that a router with a quarter of a core takes to write it.
-	 */
-	private static final long FETCH_TIMEOUT_MS = 800;
-
 	/** Largest number of prompt parts of one backend server in a page of placements. */
 	private static final int MAX_PARTS_PER_SERVER = 256;
 
@@ -316,9 +311,9 @@
 	}
 
 	private void fetch(Endpoint peer, String uri, Consumer<Optional<byte[]>> action) {
-		PlatformHttpClient client = new PlatformHttpClient(this.loop, peer.toSocketAddress(), (int) FETCH_TIMEOUT_MS,
-				1);
-		client.call(HttpMethod.GET, uri, new byte[0], FETCH_TIMEOUT_MS)
+		PlatformHttpClient client = new PlatformHttpClient(this.loop, peer.toSocketAddress(),
+				(int) ChangeBudget.FETCH_TIMEOUT_MS, 1);
+		client.call(HttpMethod.GET, uri, new byte[0], ChangeBudget.FETCH_TIMEOUT_MS)
 			.whenComplete((reply, ex) -> this.loop.execute(() -> {
 				client.close();
 				if (reply instanceof PlatformHttpClient.Reply.Response response && response.status() == 200) {
