Keep a vanished server only if its entry may have lapsed in an outage

What callers saw: requests to a server later than drain_ms after its entry was removed (DRAIN).

Cause: a vanished entry was kept until 1,900 ms after the last failed call of the router, and every watch that ended without a response counted as a failed call. A store cuts waiting watches while it is in service, after a gap in which they hear nothing: a server that leaves in that gap was kept until 1,900 ms after the cut, at all routers. A single call that fails at a busy router had the same effect.

A cut watch is no evidence. A failed or late call is, if the store may have been away for 2 s. A silent watch is weak evidence: the entry is kept only as long as a departure may have been unknown without other routers telling of it, and not at all if the history was dropped. The times are shares of ChangeBudget.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/ChangeBudget.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/ChangeBudget.java
@@ -42,6 +42,13 @@
 	/** From the choice of a server until the request reaches it. */
 	static final long SEND_MS = 100;
 
+	/**
+	 * Since the last failed call, how long entries are kept that vanished in an outage:
+	 * those of live servers are back two seconds after its end. If the outage was this
+	 * router's alone, a server may have left at that call.
+	 */
+	static final long OUTAGE_KEEP_MS = BOUND_MS - RESPONSE_MS;
+
 	private ChangeBudget() {
 	}
 
@@ -62,6 +69,16 @@
 		return untilFetchMs() + FETCH_TIMEOUT_MS + MESSAGE_MS + RESPONSE_MS + SEND_MS;
 	}
 
+	/**
+	 * Return how long an entry is kept that a router misses after a silent watch. A
+	 * server that has left while the directory was in service left no longer ago than a
+	 * fetch takes: otherwise other routers would have told before.
+	 * @return the time in milliseconds
+	 */
+	static long silentWatchKeepMs() {
+		return BOUND_MS - untilFetchMs() - RESPONSE_MS - SEND_MS;
+	}
+
 	// Fetches begin with messages, so the wait for the own watch ends with one.
 	private static long untilFetchMs() {
 		return MESSAGE_MS + (OWN_WATCH_MS + MESSAGE_MS - 1) / MESSAGE_MS * MESSAGE_MS;
--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/DirectoryPolicy.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/DirectoryPolicy.java
@@ -1,8 +1,8 @@
 package org.acaciamux.internal.coordination.direct;
 
 /**
- * Decides how long a router waits for its directory, for outages in which entries of live
- * servers expire and for watches that stop delivering. Holds no state.
+ * Decides how long a router waits for changes of its directory, for watches that stop
+ * delivering. Holds no state.
  */
 public final class DirectoryPolicy {
 
@@ -21,12 +21,6 @@
 	 */
 	private static final long MAX_WAIT_MS = 12_000;
 
-	/**
-	 * How long entries that vanished during an outage are kept, in milliseconds: those of
-	 * live servers return within two seconds of its end.
-	 */
-	private static final long VANISHED_HOLD_MS = 1_900;
-
 	/**
 	 * How much longer a router that does not watch keeps such an entry, in milliseconds:
 	 * it hears of the return of a server two messages later at most.
@@ -48,14 +42,4 @@
 		return (long) (full * (1 + random) / 2);
 	}
 
-	/**
-	 * Decide how long the entry of a server that has vanished is kept.
-	 * @param sinceFailureMs milliseconds since the directory last failed
-	 * @param leaving whether the server had announced that it leaves
-	 * @return milliseconds to keep it, 0 to remove it at once
-	 */
-	public static long keepVanishedMs(long sinceFailureMs, boolean leaving) {
-		return leaving ? 0 : Math.max(0, VANISHED_HOLD_MS - sinceFailureMs);
-	}
-
 }
--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/FleetStateTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/FleetStateTests.java
@@ -324,13 +324,6 @@
 		assertTrue(retries <= 100 / 3, "retries " + retries);
 	}
 
-	@Test
-	public void entryThatVanishesWithoutAnOutageIsRemovedAtOnce() {
-		assertEquals(DirectoryPolicy.keepVanishedMs(60_000, false), 0);
-		assertEquals(DirectoryPolicy.keepVanishedMs(100, true), 0);
-		assertEquals(DirectoryPolicy.keepVanishedMs(100, false), 1_800);
-	}
-
 	@Test
 	public void watchTimeoutGrowsWithTheFleet() {
 		assertEquals(DirectoryPolicy.watchWaitMs(1, 0), 1_000);
