Count a late response as evidence from the time its call was made

A response that is late because the router is busy would keep a server that left meanwhile until 1,700 ms after the response, which is more than the bound after its departure.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/OutageEvidence.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/OutageEvidence.java
@@ -41,12 +41,13 @@
 	}
 
 	/**
-	 * Record a response.
+	 * Record a response. If it is late because this router is busy, a server may have
+	 * left since the call was made.
 	 * @param ms how long it took longer than it was asked to wait, in milliseconds
 	 */
 	public void responded(long ms) {
 		if (ms > ChangeBudget.RESPONSE_MS) {
-			see(Kind.OUTAGE);
+			see(Kind.OUTAGE, this.clock.nanoTime() - TimeUnit.MILLISECONDS.toNanos(ms));
 		}
 		this.respondedAt = this.clock.nanoTime();
 	}
@@ -55,7 +56,7 @@
 	 * Record that a call failed that a directory in service answers at once.
 	 */
 	public void failed() {
-		see(Kind.OUTAGE);
+		see(Kind.OUTAGE, this.clock.nanoTime());
 	}
 
 	/**
@@ -64,7 +65,7 @@
 	 */
 	public void watchSilent() {
 		if (keepVanishedMs() == 0) {
-			see(Kind.SILENT_WATCH);
+			see(Kind.SILENT_WATCH, this.clock.nanoTime());
 		}
 	}
 
@@ -83,14 +84,14 @@
 	 * of any live server.
 	 */
 	public void returnedFromCopy() {
-		see(Kind.OUTAGE);
+		see(Kind.OUTAGE, this.clock.nanoTime());
 		this.awayMs = Long.MAX_VALUE;
 	}
 
-	private void see(Kind seen) {
+	private void see(Kind seen, long at) {
 		this.kind = seen;
-		this.seenAt = this.clock.nanoTime();
-		this.awayMs = TimeUnit.NANOSECONDS.toMillis(this.seenAt - this.respondedAt);
+		this.seenAt = at;
+		this.awayMs = TimeUnit.NANOSECONDS.toMillis(this.clock.nanoTime() - this.respondedAt);
 	}
 
 	/**
