Take no watch that hears nothing before the history is dropped for an outage

Evidence of watches alone is dropped with the history now. lateAndSilentWatchesBeforeTheHistoryIsDroppedShowNoOutage has the case.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/OutageEvidence.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/OutageEvidence.java
@@ -31,6 +31,9 @@
 	/** How long the directory may have been away when the evidence was seen. */
 	private long awayMs;
 
+	/** Whether only watches were late or silent. */
+	private boolean watchesOnly;
+
 	/**
 	 * Create evidence of no outage.
 	 * @param clock the monotonic clock
@@ -44,28 +47,30 @@
 	 * Record a response. If it is late because this router is busy, a server may have
 	 * left since the call was made.
 	 * @param ms how long it took longer than it was asked to wait, in milliseconds
+	 * @param watch whether it is that of a watch
 	 */
-	public void responded(long ms) {
+	public void responded(long ms, boolean watch) {
 		if (ms > ChangeBudget.RESPONSE_MS) {
-			see(Kind.OUTAGE, this.clock.nanoTime() - TimeUnit.MILLISECONDS.toNanos(ms));
+			see(Kind.OUTAGE, this.clock.nanoTime() - TimeUnit.MILLISECONDS.toNanos(ms), watch);
 		}
 		this.respondedAt = this.clock.nanoTime();
 	}
 
 	/**
 	 * Record that a call failed that a directory in service answers at once.
+	 * @param silentWatch whether it is a watch that got no response
 	 */
-	public void failed() {
-		see(Kind.OUTAGE, this.clock.nanoTime());
+	public void failed(boolean silentWatch) {
+		see(Kind.OUTAGE, this.clock.nanoTime(), silentWatch);
 	}
 
 	/**
-	 * Record that a watch got no response at all. Its connection may have been lost while
-	 * the directory was in service.
+	 * Record that a watch that waited got no response at all. Its connection may have
+	 * been lost while the directory was in service.
 	 */
 	public void watchSilent() {
 		if (keepVanishedMs() == 0) {
-			see(Kind.SILENT_WATCH, this.clock.nanoTime());
+			see(Kind.SILENT_WATCH, this.clock.nanoTime(), true);
 		}
 	}
 
@@ -74,7 +79,7 @@
 	 * service: until then watches may hear nothing.
 	 */
 	public void historyDropped() {
-		if (this.kind == Kind.SILENT_WATCH) {
+		if (this.watchesOnly) {
 			this.kind = Kind.NONE;
 		}
 	}
@@ -84,11 +89,12 @@
 	 * of any live server.
 	 */
 	public void returnedFromCopy() {
-		see(Kind.OUTAGE, this.clock.nanoTime());
+		see(Kind.OUTAGE, this.clock.nanoTime(), false);
 		this.awayMs = Long.MAX_VALUE;
 	}
 
-	private void see(Kind seen, long at) {
+	private void see(Kind seen, long at, boolean watch) {
+		this.watchesOnly = watch && (this.watchesOnly || keepVanishedMs() == 0);
 		this.kind = seen;
 		this.seenAt = at;
 		this.awayMs = TimeUnit.NANOSECONDS.toMillis(this.clock.nanoTime() - this.respondedAt);
--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/OutageEvidenceTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/OutageEvidenceTests.java
@@ -20,7 +20,7 @@
 	private final OutageEvidence evidence = new OutageEvidence(this.clock);
 
 	private void respondAndWait(long ms) {
-		this.evidence.responded(0);
+		this.evidence.responded(0, false);
 		this.clock.advance(ms);
 	}
 
@@ -33,7 +33,7 @@
 	@Test
 	public void entryIsKeptAfterAnOutageInWhichItMayHaveLapsed() {
 		respondAndWait(LAPSE_MS);
-		this.evidence.failed();
+		this.evidence.failed(false);
 		this.clock.advance(200);
 		assertEquals(this.evidence.keepVanishedMs(), 1_500);
 		this.clock.advance(1_500);
@@ -43,7 +43,7 @@
 	@Test
 	public void entryIsNotKeptAfterAFailureThatWasTooShortForALapse() {
 		respondAndWait(1_900);
-		this.evidence.failed();
+		this.evidence.failed(false);
 		assertEquals(this.evidence.keepVanishedMs(), 0);
 	}
 
@@ -54,7 +54,7 @@
 	@Test
 	public void lateResponseShowsAnOutageThatMayHaveEndedWhenTheCallWasMade() {
 		respondAndWait(LAPSE_MS);
-		this.evidence.responded(500);
+		this.evidence.responded(500, false);
 		assertEquals(this.evidence.keepVanishedMs(), 1_200);
 	}
 
@@ -82,10 +82,26 @@
 		assertEquals(this.evidence.keepVanishedMs(), 0);
 	}
 
+	/**
+	 * The watch that is repeated after a silent one hears nothing before the history is
+	 * dropped, either.
+	 */
+	@Test
+	public void lateAndSilentWatchesBeforeTheHistoryIsDroppedShowNoOutage() {
+		respondAndWait(LAPSE_MS);
+		this.evidence.watchSilent();
+		this.clock.advance(700);
+		this.evidence.failed(true);
+		this.evidence.responded(500, true);
+		assertTrue(this.evidence.keepVanishedMs() > 0);
+		this.evidence.historyDropped();
+		assertEquals(this.evidence.keepVanishedMs(), 0);
+	}
+
 	@Test
 	public void silentWatchDoesNotHideAnOutage() {
 		respondAndWait(LAPSE_MS);
-		this.evidence.failed();
+		this.evidence.failed(false);
 		this.evidence.watchSilent();
 		this.evidence.historyDropped();
 		assertEquals(this.evidence.keepVanishedMs(), 1_700);
