Report why a handshake was refused although the connection closes then

An operator would look for a network fault instead of an old version.

Cause: the close that follows a refusal reported a failure, too, if a worker had not yet reported the first one; two workers ran the two reports in any order.

Change: the first result is decided on the connection's event loop.

--- a/server/src/main/java/org/acaciamux/internal/transport/peer/PeerClient.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/peer/PeerClient.java
@@ -120,14 +120,16 @@
 	}
 
 	private void succeed(Attempt attempt, PeerLink link) {
+		attempt.ended = true;
 		link.onClose((reason) -> remove(attempt));
 		complete(attempt, Either.right(link));
 	}
 
 	private void fail(Attempt attempt, Failure failure) {
-		if (attempt.result.isDone()) {
+		if (attempt.ended) {
 			return;
 		}
+		attempt.ended = true;
 		Member member = attempt.member;
 		EventLog.log(PeerEvent.CONNECT_FAILED, member.id(), member.address(), member.peerPort(), failure.detail());
 		remove(attempt);
@@ -153,6 +155,12 @@
 
 		private final CompletableFuture<Either<Failure, PeerLink>> result = new CompletableFuture<>();
 
+		/**
+		 * Whether the result is decided, which a worker reports later. Confined to the
+		 * connection's event loop.
+		 */
+		private boolean ended;
+
 		private Attempt(Member member) {
 			this.member = member;
 		}
--- a/server/src/test/java/org/acaciamux/internal/transport/peer/PeerTransportTests.java
+++ b/server/src/test/java/org/acaciamux/internal/transport/peer/PeerTransportTests.java
@@ -42,6 +42,9 @@
 
 	private static final long WAIT_SECONDS = 30;
 
+	/** Connections of which some would show an order that is rare. */
+	private static final int REFUSALS = 2_000;
+
 	private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
 
 	private final WorkerPool workers = new WorkerPool("test", 2, (error) -> {
@@ -117,6 +120,21 @@
 		assertEquals(result.getLeft().code(), FailureCode.VERSION_MISMATCH);
 	}
 
+	/**
+	 * The connection closes after the refusal, and that was reported instead when the
+	 * workers ran the two reports in another order.
+	 */
+	@Test
+	public void closeAfterARefusalDoesNotReplaceItsReason() throws Exception {
+		int port = listen("agent-1", 2, (link, frame) -> {
+		});
+		PeerClient client = client(1);
+		for (int i = 0; i < REFUSALS; i++) {
+			Either<Failure, PeerLink> result = client.link(member("agent-1", port)).toCompletableFuture().get();
+			assertEquals(result.getLeft().code(), FailureCode.VERSION_MISMATCH, "connection " + i);
+		}
+	}
+
 	@Test
 	public void malformedBytesCloseTheirConnectionAndAreCounted() throws Exception {
 		int port = listen("agent-1", 1, (link, frame) -> {
