--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/OutageEvidence.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/OutageEvidence.java
@@ -8,8 +8,8 @@
  * What the calls of a router show about an outage of its directory. The entries of live
  * servers may lapse in one and are back two seconds after it, so vanished entries are
  * kept for that time; without an outage they are those of servers that have left.
- * Invariant: if other routers reach the directory, no entry is kept longer than
- * {@link ChangeBudget} allows after its server has left. Confined to the event loop.
+ * Invariant: an entry is kept only if the directory may have been away long enough for a
+ * lapse, and no longer than {@link ChangeBudget} allows. Confined to the event loop.
  */
 public final class OutageEvidence {
 
@@ -94,6 +94,7 @@
 	}
 
 	private void see(Kind seen, long at, boolean watch) {
+		// What another call has shown is not taken back with the evidence of watches.
 		this.watchesOnly = watch && (this.watchesOnly || keepVanishedMs() == 0);
 		this.kind = seen;
 		this.seenAt = at;
