Count the time before a watch was cut as service of the store

The time that a watch waits without changes counts only if the watch was silent until its timeout.

The time of the cut is a sign of life now. failureSoonAfterAWatchWasCutShowsNoOutage has the case. ChangeBudget counts the response that reports the dropped history, too.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/ChangeBudget.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/ChangeBudget.java
@@ -53,11 +53,12 @@
 	}
 
 	/**
-	 * Return the longest way if the watch of a router is cut.
+	 * Return the longest way if the watch of a router is cut: the next one shows that the
+	 * history was dropped, and a list follows.
 	 * @return the time in milliseconds
 	 */
 	static long cutWatchMs() {
-		return GAP_MS + RETRY_PAUSE_MS + RESPONSE_MS + SEND_MS;
+		return GAP_MS + RETRY_PAUSE_MS + 2 * RESPONSE_MS + SEND_MS;
 	}
 
 	/**
--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/OutageEvidence.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/OutageEvidence.java
@@ -26,6 +26,7 @@
 
 	private long seenAt;
 
+	/** When the directory last responded or closed a connection. */
 	private long respondedAt;
 
 	/** How long the directory may have been away when the evidence was seen. */
@@ -74,6 +75,14 @@
 		}
 	}
 
+	/**
+	 * Record that the connection of a watch that waited was closed, which a directory in
+	 * service does, too. If it is away, it has not been for longer.
+	 */
+	public void watchCut() {
+		this.respondedAt = this.clock.nanoTime();
+	}
+
 	/**
 	 * Record that the directory has dropped its history, which it does while it is in
 	 * service: until then watches may hear nothing.
--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/OutageEvidenceTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/OutageEvidenceTests.java
@@ -74,6 +74,19 @@
 		assertEquals(this.evidence.keepVanishedMs(), 0);
 	}
 
+	/**
+	 * A watch that has waited for seconds is cut, and the call after it is reset: the
+	 * directory was in service until the cut.
+	 */
+	@Test
+	public void failureSoonAfterAWatchWasCutShowsNoOutage() {
+		respondAndWait(LAPSE_MS);
+		this.evidence.watchCut();
+		this.clock.advance(300);
+		this.evidence.failed(false);
+		assertEquals(this.evidence.keepVanishedMs(), 0);
+	}
+
 	@Test
 	public void silentWatchBeforeTheHistoryIsDroppedShowsNoOutage() {
 		respondAndWait(LAPSE_MS);
