Log connection, times, status and skipped responses of each send

Callers got successes where the server had answered otherwise, and the lines request-ended and send-failed name the servers of a request but not the status that each one gave, when its head and its end came, on which connection, and which responses were skipped there before. So the log cannot tell a second copy, a second server and a second answer of one server apart.

Each send now has a trace: number of the connection and requests sent on it before, ms from the arrival of the request to send, head and end, status, and skipped responses with their status and whether their attempt id was another one, missing or the same. request-ended lists the last four sends in responses=[...], before the fields that follow, since long lines are cut; send-failed describes its send after server=. The event unrequested-response tells of bytes on a connection that serves no request, once for each connection and at most ten times a second (LineLimit, taken out of CallerEnds). New counters: skipped-responses, unrequested-responses. No decision depends on a trace.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/CallerEnds.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/CallerEnds.java
@@ -2,21 +2,15 @@
 
 /**
  * Counts and logs the connections of callers that the router ends without having
- * announced it in a response. Invariant: at most {@value #LINES_PER_INTERVAL} lines per
- * second; the counters hold all of them. Confined to the event loop.
+ * announced it in a response. Invariant: the lines are limited, the counters hold all of
+ * them. Confined to the event loop.
  */
 final class CallerEnds {
 
-	private static final int LINES_PER_INTERVAL = 10;
-
-	private static final long INTERVAL_NANOS = 1_000_000_000;
+	private final LineLimit limit = new LineLimit();
 
 	private final DirectContext context;
 
-	private long intervalStart;
-
-	private int lines;
-
 	CallerEnds(DirectContext context) {
 		this.context = context;
 	}
@@ -30,7 +24,7 @@
 	 */
 	void ended(Cause cause, long idleMs, int readAhead, String reason) {
 		this.context.metrics().callerClosed(cause.label);
-		if (cause.unused && readAhead == 0 || !mayLog(this.context.now())) {
+		if (cause.unused && readAhead == 0 || !this.limit.tryLine(this.context.now())) {
 			return;
 		}
 		this.context.log()
@@ -38,14 +32,6 @@
 					+ " reason=\"" + reason + "\"");
 	}
 
-	private boolean mayLog(long now) {
-		if (now - this.intervalStart > INTERVAL_NANOS) {
-			this.intervalStart = now;
-			this.lines = 0;
-		}
-		return this.lines++ < LINES_PER_INTERVAL;
-	}
-
 	/**
 	 * Why the router ends a connection.
 	 */
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
@@ -69,8 +69,6 @@
 
 	private boolean ended;
 
-	private int sends;
-
 	private long deadlineAt;
 
 	private CrashHistory crashes;
@@ -173,7 +171,7 @@
 
 	@Override
 	public void transmit(ServerSend send, ServerChannel channel) {
-		this.sends++;
+		this.log.transmitted(send.trace());
 		if (send != this.current) {
 			this.context.metrics().retry();
 		}
@@ -306,7 +304,7 @@
 			send.server().recordResult(true);
 		}
 		this.crashes.sendFailed(result, send);
-		this.log.sendFailed(result, send.serverId(), this.crashes, reason);
+		this.log.sendFailed(result, send.trace(), this.crashes, reason);
 	}
 
 	private void endSends() {
@@ -356,7 +354,7 @@
 	private void close(String outcome, String reason) {
 		this.ended = true;
 		this.context.remove(this);
-		this.log.ended(outcome, reason, this.sends, this.tried);
+		this.log.ended(outcome, reason, this.tried);
 	}
 
 	/**
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectMetrics.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectMetrics.java
@@ -27,6 +27,10 @@
 
 	private final Counter foreignResponses;
 
+	private final Counter skippedResponses;
+
+	private final Counter unrequestedResponses;
+
 	private final Counter retries;
 
 	private final Counter resumes;
@@ -48,6 +52,8 @@
 		this.requests = registry.counter(PREFIX + "requests");
 		this.connections = registry.counter(PREFIX + "server-connections");
 		this.foreignResponses = registry.counter(PREFIX + "foreign-responses");
+		this.skippedResponses = registry.counter(PREFIX + "skipped-responses");
+		this.unrequestedResponses = registry.counter(PREFIX + "unrequested-responses");
 		this.retries = registry.counter(PREFIX + "retries");
 		this.resumes = registry.counter(PREFIX + "resumes");
 		this.unreadablePeerMessages = registry.counter(PREFIX + "unreadable-peer-messages");
@@ -72,6 +78,14 @@
 		this.foreignResponses.inc();
 	}
 
+	void skippedResponse() {
+		this.skippedResponses.inc();
+	}
+
+	void unrequestedResponse() {
+		this.unrequestedResponses.inc();
+	}
+
 	void retry() {
 		this.retries.inc();
 	}
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ExchangeLog.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ExchangeLog.java
@@ -1,8 +1,11 @@
 package org.acaciamux.internal.transport.http.direct;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.acaciamux.internal.coordination.direct.SendResult;
 import org.acaciamux.internal.coordination.direct.TrafficConfig;
@@ -13,8 +16,13 @@
  */
 final class ExchangeLog {
 
+	/** Sends that are listed in the last line of a request; the others are counted. */
+	private static final int MAX_LISTED_SENDS = 4;
+
 	private static final long NANOS_PER_MS = 1_000_000;
 
+	private final List<SendTrace> sends = new ArrayList<>();
+
 	private final DirectContext context;
 
 	private final long startedAt;
@@ -84,19 +92,36 @@
 		this.bytes = 0;
 	}
 
-	void sendFailed(SendResult result, String server, CrashHistory crashes, String reason) {
-		line("send-failed",
-				result + " server=" + server + " fingerprint=" + crashes + response() + " reason=\"" + reason + "\"");
+	/**
+	 * Record that the request was sent to a server.
+	 * @param send the trace of the send
+	 */
+	void transmitted(SendTrace send) {
+		this.sends.add(send);
+	}
+
+	void sendFailed(SendResult result, SendTrace send, CrashHistory crashes, String reason) {
+		line("send-failed", result + " server=" + send.describe(this.startedAt) + " fingerprint=" + crashes + response()
+				+ " reason=\"" + reason + "\"");
 	}
 
-	void ended(String outcome, String reason, int sends, Set<String> servers) {
+	void ended(String outcome, String reason, Set<String> servers) {
 		long ms = (this.context.now() - this.startedAt) / NANOS_PER_MS;
 		long first = hasData() ? (this.firstByteAt - this.startedAt) / NANOS_PER_MS : -1;
 		this.context.metrics().ended(outcome, ms);
 		line("request-ended",
-				outcome + " sends=" + sends + " firstMs=" + first + " pauseMs=" + this.longestPause / NANOS_PER_MS
-						+ " ms=" + ms + response() + " servers=" + servers + " lastChoice=" + this.lastChoice
-						+ " reason=\"" + reason + "\"");
+				outcome + " sends=" + this.sends.size() + " responses=" + responses() + " firstMs=" + first
+						+ " pauseMs=" + this.longestPause / NANOS_PER_MS + " ms=" + ms + response() + " servers="
+						+ servers + " lastChoice=" + this.lastChoice + " reason=\"" + reason + "\"");
+	}
+
+	// The last sends: those that were turned away before have lines of their own.
+	private String responses() {
+		int left = Math.max(0, this.sends.size() - MAX_LISTED_SENDS);
+		return this.sends.stream()
+			.skip(left)
+			.map((send) -> send.describe(this.startedAt))
+			.collect(Collectors.joining(", ", (left > 0) ? "[+" + left + ", " : "[", "]"));
 	}
 
 	private String response() {
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
@@ -73,8 +73,19 @@
 
 	private String attemptId = "";
 
+	/** Tells the connection apart from the others of the router in the log. */
+	private final int number;
+
+	/** Requests that were sent on the connection. */
+	private int uses;
+
 	private boolean reusable = true;
 
+	/** Whether the rest of a response is not read. */
+	private boolean abandoned;
+
+	private boolean unrequestedReported;
+
 	private boolean skippingResponse;
 
 	private int skippedResponses;
@@ -96,9 +107,11 @@
 
 	private long idleSince;
 
-	ServerChannel(ServerChannels owner, ServerEntry server, WireFormat format) {
+	ServerChannel(ServerChannels owner, int number, ServerEntry server, WireFormat format) {
 		super(false);
 		this.owner = owner;
+		this.number = number;
+		this.idleSince = owner.now();
 		this.serverId = server.id();
 		this.lifetime = server.lifetime();
 		this.format = format;
@@ -113,6 +126,14 @@
 		return this.serverId;
 	}
 
+	/**
+	 * Describe the connection for the log.
+	 * @return its number and how many requests were sent on it so far
+	 */
+	String describe() {
+		return this.number + "/" + this.uses;
+	}
+
 	/**
 	 * Record that the connection has become idle.
 	 * @param now the monotonic time in nanoseconds
@@ -144,6 +165,7 @@
 	 */
 	void send(FullHttpRequest request, String attempt, boolean events, ServerListener receiver) {
 		this.listener = receiver;
+		this.uses++;
 		this.lifetime = this.owner.lifetime(this.serverId).orElse(this.lifetime);
 		this.attemptId = attempt;
 		this.method = request.method();
@@ -167,6 +189,7 @@
 	 */
 	void cancel() {
 		this.listener = null;
+		this.abandoned = true;
 		this.channel.close();
 	}
 
@@ -192,6 +215,7 @@
 		if (this.listener == null) {
 			// Bytes that belong to no request, for example a second response.
 			this.reusable = false;
+			reportUnrequested(message);
 			this.channel.close();
 			return;
 		}
@@ -207,6 +231,17 @@
 		}
 	}
 
+	// The rest of a response that is not read belongs to its request.
+	private void reportUnrequested(HttpObject message) {
+		if (this.abandoned || this.unrequestedReported) {
+			return;
+		}
+		this.unrequestedReported = true;
+		String response = (message instanceof HttpResponse head) ? " status=" + head.status().code() + " attempt="
+				+ AttemptMatch.of(this.format.reply(head).attemptId(), this.attemptId).label() : "";
+		this.owner.unrequested(this, (this.owner.now() - this.idleSince) / NANOS_PER_MS, response);
+	}
+
 	private void head(HttpResponse response) {
 		this.owner.received(this.serverId);
 		WireFormat.ServerReply reply = this.format.reply(response);
@@ -214,15 +249,16 @@
 		if (reply.leaving() && !response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
 			announced();
 		}
+		AttemptMatch match = AttemptMatch.of(reply.attemptId(), this.attemptId);
 		if (response.status().code() < 200) {
-			skipResponse();
+			skipResponse(response, match);
 			return;
 		}
-		if (!reply.attemptId().map(this.attemptId::equals).orElse(false)) {
+		if (match != AttemptMatch.SAME) {
 			// A late response to an earlier request. The response to this one may follow.
 			this.reusable = false;
 			this.owner.foreignResponse(this.serverId);
-			skipResponse();
+			skipResponse(response, match);
 			return;
 		}
 		Optional<String> unreadable = ResponseEnd.unreadable(response);
@@ -248,8 +284,10 @@
 			.ifPresent(this.owner::leaving);
 	}
 
-	private void skipResponse() {
+	private void skipResponse(HttpResponse response, AttemptMatch match) {
 		this.skippingResponse = true;
+		this.owner.skippedResponse();
+		this.listener.skipped(response.status().code(), match);
 		if (++this.skippedResponses > MAX_SKIPPED_RESPONSES) {
 			broken(this.skippedResponses + " responses came before the one to the request");
 		}
@@ -312,6 +350,7 @@
 
 	private void finish() {
 		this.reused = true;
+		this.idleSince = this.owner.now();
 		this.channel.config().setAutoRead(true);
 		// If the response ended before the request was written completely, the server
 		// would parse the rest of the body as the next request.
@@ -327,6 +366,7 @@
 		ServerListener receiver = this.listener;
 		this.listener = null;
 		this.reusable = false;
+		this.abandoned = true;
 		this.channel.close();
 		if (receiver != null) {
 			receiver.broken(SendResult.BROKEN, reason);
@@ -349,6 +389,13 @@
 	 */
 	interface ServerListener {
 
+		/**
+		 * A response arrived that is not the one to the request; it is skipped.
+		 * @param status its status
+		 * @param match how its attempt id relates to the request
+		 */
+		void skipped(int status, AttemptMatch match);
+
 		/**
 		 * The head of the response arrived.
 		 * @param response the head
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannels.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannels.java
@@ -59,6 +59,10 @@
 
 	private final Map<String, Pool> pools = new HashMap<>();
 
+	private final LineLimit unrequestedLines = new LineLimit();
+
+	private int opened;
+
 	ServerChannels(EventLoop loop, ServerTable servers, WireFormat format, NanoClock clock,
 			IntUnaryOperator connectionShare, DirectMetrics metrics, DecisionLog log) {
 		this.loop = loop;
@@ -111,7 +115,7 @@
 			return;
 		}
 		pool.open++;
-		ServerChannel handler = new ServerChannel(this, server.entry(), this.format);
+		ServerChannel handler = new ServerChannel(this, ++this.opened, server.entry(), this.format);
 		this.metrics.connection();
 		connect(server, handler).addListener((ChannelFuture connected) -> {
 			if (!connected.isSuccess()) {
@@ -218,6 +222,25 @@
 		this.metrics.foreignResponse();
 	}
 
+	void skippedResponse() {
+		this.metrics.skippedResponse();
+	}
+
+	/**
+	 * Record that bytes arrived on a connection that serves no request.
+	 * @param channel the connection
+	 * @param idleMs how long it has served none, in milliseconds
+	 * @param response log fields of the response that begins with them, empty if none
+	 * does
+	 */
+	void unrequested(ServerChannel channel, long idleMs, String response) {
+		this.metrics.unrequestedResponse();
+		if (this.unrequestedLines.tryLine(now())) {
+			this.log.line("event=unrequested-response server=" + channel.serverId() + " conn=" + channel.describe()
+					+ " idleMs=" + idleMs + response);
+		}
+	}
+
 	long now() {
 		return this.clock.nanoTime();
 	}
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerSend.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerSend.java
@@ -38,6 +38,8 @@
 
 	private final PromptRun promptRun;
 
+	private final SendTrace trace;
+
 	private int pendingTokens;
 
 	private ServerChannel channel;
@@ -69,6 +71,7 @@
 		this.context = context;
 		this.admitted = admitted;
 		this.server = server;
+		this.trace = new SendTrace(server.entry().id());
 		this.choice = server.describe(admitted.request().prompt(), context.now());
 		this.promptSource = context.placement()
 			.promptSource(admitted.service(), admitted.request(), server)
@@ -90,6 +93,14 @@
 		return this.server.entry().id();
 	}
 
+	/**
+	 * Return what the log tells of the send.
+	 * @return the trace, which is kept up to date
+	 */
+	SendTrace trace() {
+		return this.trace;
+	}
+
 	/**
 	 * Describe the inputs of the choice of the server for the log.
 	 * @return the inputs
@@ -133,6 +144,7 @@
 		this.sentAt = this.context.now();
 		this.lastDataAt = this.sentAt;
 		this.channel = to;
+		this.trace.sent(this.sentAt, to.describe());
 		to.send(message, this.admitted.request().attemptId(), this.admitted.route().streaming(), this);
 	}
 
@@ -148,11 +160,17 @@
 		return this.sentAt;
 	}
 
+	@Override
+	public void skipped(int skippedStatus, AttemptMatch match) {
+		this.trace.skipped(skippedStatus, match);
+	}
+
 	@Override
 	public void head(HttpResponse head, WireFormat.ServerReply reply) {
 		this.headReceived = true;
 		this.status = head.status().code();
 		this.lastDataAt = this.context.now();
+		this.trace.head(this.lastDataAt, this.status);
 		reply.load().ifPresent((load) -> this.server.reported(load, this.lastDataAt));
 		this.listener.head(this, head, reply);
 	}
@@ -174,6 +192,7 @@
 
 	@Override
 	public void completed(boolean endMarked) {
+		this.trace.ended(this.context.now());
 		if (endMarked) {
 			this.promptRun.completed();
 		}
@@ -193,6 +212,7 @@
 
 	@Override
 	public void broken(SendResult result, String reason) {
+		this.trace.ended(this.context.now());
 		this.listener.broken(this, result, reason);
 	}
 
@@ -243,6 +263,7 @@
 			return;
 		}
 		this.ended = true;
+		this.trace.ended(this.context.now());
 		this.channel = null;
 		this.server.promptRead(this.pendingTokens);
 		this.pendingTokens = 0;
