Fail a send at once when its response cannot follow a skipped one

Callers saw 504 after the whole time limit: a server sent a second response to an earlier request, with neither length nor chunks, on a connection that was in use again.

Cause: ServerChannel skips a response to another request up to its end and then waits for its own. A body without length or chunks ends with the connection, so nothing can follow it; the same holds for another transfer coding and for a 101 that nobody asked for. The class is waiting for what can no longer come.

ResponseEnd.lastOnConnection tells this at the head of the skipped response, and the send is broken at once: requests that may run again go to another server within the retry budget, others get 502.

Not covered: a skipped response with a length that never comes whole still holds up a request that may not run again.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/ResponseEnd.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/ResponseEnd.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 
 /**
  * Checks, at the end of a response, whether its body is whole: the decoder reports an end
@@ -60,6 +61,19 @@
 			.map((coding) -> "the response has the transfer coding " + coding);
 	}
 
+	/**
+	 * Check whether another response can follow a response on its connection.
+	 * @param head the head of the response, whose request is not known
+	 * @return why none can, empty if one can
+	 */
+	public static Optional<String> lastOnConnection(HttpResponse head) {
+		if (head.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+			return Optional.of("the server switched protocols");
+		}
+		return (BodyFraming.of(HttpMethod.GET, head) == BodyFraming.CONNECTION)
+				? Optional.of("a response to another request ends only with the connection") : unreadable(head);
+	}
+
 	/**
 	 * Record the next bytes of the body.
 	 * @param data the bytes, which are not consumed
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
@@ -288,6 +288,11 @@
 		this.skippingResponse = true;
 		this.owner.skippedResponse();
 		this.listener.skipped(response.status().code(), match);
+		Optional<String> last = ResponseEnd.lastOnConnection(response);
+		if (last.isPresent()) {
+			broken(last.get());
+			return;
+		}
 		if (++this.skippedResponses > MAX_SKIPPED_RESPONSES) {
 			broken(this.skippedResponses + " responses came before the one to the request");
 		}
