Tell the pauses of the event loop in the log and the metrics

DirectContext.tick already knew when a check was late. LoopPauses now writes a line router-paused for each pause of more than 200 ms, at most one in that time, and counts number, total and longest of them. The line says how long of the pause the event loop ran and how long it waited for a processor, from the operating system's times of the thread, and the total of the garbage collections; the rest is a process that was stopped or blocked.

What the checks do after a pause is as it was.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectContext.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectContext.java
@@ -26,14 +26,6 @@
  */
 public final class DirectContext {
 
-	/**
-	 * Time between two checks above which the event loop counts as having been busy, in
-	 * milliseconds.
-	 */
-	private static final long LATE_TICK_MS = 200;
-
-	private static final long NANOS_PER_MS = 1_000_000;
-
 	private final Set<DirectExchange> exchanges = new HashSet<>();
 
 	private final EventLoop loop;
@@ -76,7 +68,7 @@
 
 	private int routers = 1;
 
-	private long lastTickAt;
+	private final LoopPauses pauses;
 
 	/**
 	 * Create the shared components.
@@ -106,7 +98,7 @@
 		this.metrics = metrics;
 		this.log = log;
 		this.admission = new Admission(clock);
-		this.lastTickAt = clock.nanoTime();
+		this.pauses = new LoopPauses(clock.nanoTime(), new ThreadTimes()::read, metrics, log);
 		this.channels = new ServerChannels(loop, servers, format, clock, this::connectionShare, metrics, log);
 	}
 
@@ -207,11 +199,7 @@
 	 * Check time limits. Called every 20 to 100 ms.
 	 */
 	public void tick() {
-		long now = now();
-		boolean late = (now - this.lastTickAt) / NANOS_PER_MS > LATE_TICK_MS;
-		// Bytes that arrived while the event loop was busy are read after this check.
-		long readUntil = late ? this.lastTickAt : now;
-		this.lastTickAt = now;
+		long readUntil = this.pauses.check(now());
 		for (DirectExchange exchange : this.exchanges.toArray(DirectExchange[]::new)) {
 			exchange.tick(readUntil);
 		}
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectMetrics.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectMetrics.java
@@ -1,6 +1,7 @@
 package org.acaciamux.internal.transport.http.direct;
 
 import java.util.Locale;
+import java.util.concurrent.atomic.AtomicLong;
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.Histogram;
@@ -39,6 +40,12 @@
 
 	private final Counter leftOutPeerEntries;
 
+	private final Counter pauses;
+
+	private final Counter pausedMs;
+
+	private final AtomicLong longestPauseMs = new AtomicLong();
+
 	private final Histogram firstByteMs;
 
 	private final Histogram totalMs;
@@ -58,6 +65,9 @@
 		this.resumes = registry.counter(PREFIX + "resumes");
 		this.unreadablePeerMessages = registry.counter(PREFIX + "unreadable-peer-messages");
 		this.leftOutPeerEntries = registry.counter(PREFIX + "left-out-peer-entries");
+		this.pauses = registry.counter(PREFIX + "pauses");
+		this.pausedMs = registry.counter(PREFIX + "paused-ms");
+		registry.gauge(PREFIX + "longest-pause-ms", () -> this.longestPauseMs::get);
 		this.firstByteMs = histogram(PREFIX + "first-byte-ms");
 		this.totalMs = histogram(PREFIX + "total-ms");
 	}
@@ -121,6 +131,12 @@
 		this.unreadablePeerMessages.inc();
 	}
 
+	void paused(long ms) {
+		this.pauses.inc();
+		this.pausedMs.inc(ms);
+		this.longestPauseMs.accumulateAndGet(ms, Math::max);
+	}
+
 	void firstByte(long ms) {
 		this.firstByteMs.update(ms);
 	}
--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/LoopPauses.java
@@ -0,0 +1,86 @@
+package org.acaciamux.internal.transport.http.direct;
+
+import java.lang.management.GarbageCollectorMXBean;
+import java.lang.management.ManagementFactory;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+import org.acaciamux.internal.event.DecisionLog;
+
+/**
+ * Finds the pauses of the event loop: times in which the router neither read nor decided
+ * anything. Writes a line for each, so that other lines can be read against it.
+ * Invariant: at most one line per {@link #LATE_TICK_MS}. Confined to the event loop.
+ */
+final class LoopPauses {
+
+	/**
+	 * Time between two checks above which the event loop counts as having been paused, in
+	 * milliseconds.
+	 */
+	static final long LATE_TICK_MS = 200;
+
+	private static final long NANOS_PER_MS = 1_000_000;
+
+	private final Supplier<Optional<ThreadTimes.Times>> threadTimes;
+
+	private final DirectMetrics metrics;
+
+	private final DecisionLog log;
+
+	private Optional<ThreadTimes.Times> lastTimes = Optional.empty();
+
+	private long lastCheckAt;
+
+	private long lastPauseEndedAt;
+
+	LoopPauses(long now, Supplier<Optional<ThreadTimes.Times>> threadTimes, DirectMetrics metrics, DecisionLog log) {
+		this.lastCheckAt = now;
+		this.lastPauseEndedAt = now;
+		this.threadTimes = threadTimes;
+		this.metrics = metrics;
+		this.log = log;
+	}
+
+	/**
+	 * Record a check of the time limits.
+	 * @param now the monotonic time in nanoseconds
+	 * @return time up to which everything that arrived has been read: bytes that arrived
+	 * in a pause are read after this check
+	 */
+	long check(long now) {
+		long lastAt = this.lastCheckAt;
+		long ms = (now - lastAt) / NANOS_PER_MS;
+		Optional<ThreadTimes.Times> before = this.lastTimes;
+		this.lastTimes = this.threadTimes.get();
+		this.lastCheckAt = now;
+		if (ms <= LATE_TICK_MS) {
+			return now;
+		}
+		this.metrics.paused(ms);
+		this.log.line("event=router-paused pausedMs=" + ms + " ranMs=" + spent(before, ThreadTimes.Times::ranMs)
+				+ " waitedMs=" + spent(before, ThreadTimes.Times::waitedMs) + " gcTotalMs=" + gcTotalMs()
+				+ " sinceLastMs=" + (lastAt - this.lastPauseEndedAt) / NANOS_PER_MS);
+		this.lastPauseEndedAt = now;
+		return lastAt;
+	}
+
+	// Returns -1 if it is not known.
+	private long spent(Optional<ThreadTimes.Times> before, Field field) {
+		return before.flatMap((from) -> this.lastTimes.map((to) -> field.of(to) - field.of(from))).orElse(-1L);
+	}
+
+	private static long gcTotalMs() {
+		return ManagementFactory.getGarbageCollectorMXBeans()
+			.stream()
+			.mapToLong(GarbageCollectorMXBean::getCollectionTime)
+			.sum();
+	}
+
+	private interface Field {
+
+		long of(ThreadTimes.Times times);
+
+	}
+
+}
