Count the time of a drain up to what has been read

Callers got 504 for requests whose whole response lay in the router's socket: a router that was told to stop and then got no processor beyond its drain timeout ended all requests in the first check after the pause.

Cause: checkDrained took the time of the pause as time of the drain. A pause of the event loop ends inside the selector, which returns without keys when it is interrupted, so the checks run before anything is read.

DirectContext.readUntil() tells the time up to which everything has been read: after a pause its beginning, until the next check in time. checkDrained counts up to it, so what arrived is read before the listener closes or requests end.

--- a/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
@@ -285,7 +285,8 @@
 	}
 
 	private void checkDrained(Runnable whenDone) {
-		long drainMs = (this.clock.nanoTime() - this.drainSince) / 1_000_000;
+		// Requests and responses that arrived in a pause are read before anything ends.
+		long drainMs = (this.context.readUntil() - this.drainSince) / 1_000_000;
 		if (drainMs < STOP_ACCEPTING_AFTER_MS) {
 			return;
 		}
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectContext.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectContext.java
@@ -206,6 +206,15 @@
 		this.channels.tick();
 	}
 
+	/**
+	 * Return the time up to which everything that arrived has been read. After a pause of
+	 * the event loop this is its beginning, until the next check.
+	 * @return the time, monotonic in nanoseconds
+	 */
+	public long readUntil() {
+		return this.pauses.readUntil(now());
+	}
+
 	/**
 	 * End all requests in progress because the process stops.
 	 */
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/LoopPauses.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/LoopPauses.java
@@ -32,6 +32,9 @@
 
 	private long lastCheckAt;
 
+	/** What the last check returned, if it was late. */
+	private Optional<Long> unreadSince = Optional.empty();
+
 	private long lastPauseEndedAt;
 
 	LoopPauses(long now, Supplier<Optional<ThreadTimes.Times>> threadTimes, DirectMetrics metrics, DecisionLog log) {
@@ -55,8 +58,10 @@
 		this.lastTimes = this.threadTimes.get();
 		this.lastCheckAt = now;
 		if (ms <= LATE_TICK_MS) {
+			this.unreadSince = Optional.empty();
 			return now;
 		}
+		this.unreadSince = Optional.of(lastAt);
 		this.metrics.paused(ms);
 		this.log.line("event=router-paused pausedMs=" + ms + " ranMs=" + spent(before, ThreadTimes.Times::ranMs)
 				+ " waitedMs=" + spent(before, ThreadTimes.Times::waitedMs) + " gcTotalMs=" + gcTotalMs()
@@ -65,6 +70,17 @@
 		return lastAt;
 	}
 
+	/**
+	 * Return the time up to which everything that arrived has been read. What arrived in
+	 * a pause has been read when the next check is in time.
+	 * @param now the monotonic time in nanoseconds
+	 * @return the time, monotonic in nanoseconds
+	 */
+	long readUntil(long now) {
+		boolean paused = (now - this.lastCheckAt) / NANOS_PER_MS > LATE_TICK_MS;
+		return this.unreadSince.orElse(paused ? this.lastCheckAt : now);
+	}
+
 	// Returns -1 if it is not known.
 	private long spent(Optional<ThreadTimes.Times> before, Field field) {
 		return before.flatMap((from) -> this.lastTimes.map((to) -> field.of(to) - field.of(from))).orElse(-1L);
--- a/server/src/test/java/org/acaciamux/internal/transport/http/direct/LoopPausesTests.java
+++ b/server/src/test/java/org/acaciamux/internal/transport/http/direct/LoopPausesTests.java
@@ -51,6 +51,10 @@
 		return TimeUnit.NANOSECONDS.toMillis(this.pauses.check(START + TimeUnit.MILLISECONDS.toNanos(ms)) - START);
 	}
 
+	private long readUntil(long ms) {
+		return TimeUnit.NANOSECONDS.toMillis(this.pauses.readUntil(START + TimeUnit.MILLISECONDS.toNanos(ms)) - START);
+	}
+
 	private String lines() {
 		this.log.close();
 		return this.out.toString(StandardCharsets.UTF_8);
@@ -80,6 +84,17 @@
 		assertEquals(checkAt(1_080), 1_080);
 	}
 
+	@Test
+	public void whatArrivedInAPauseCountsAsReadAtTheNextCheckInTime() {
+		checkAt(40);
+		assertEquals(readUntil(60), 60);
+		assertEquals(readUntil(1_000), 40);
+		checkAt(1_040);
+		assertEquals(readUntil(1_060), 40);
+		checkAt(1_080);
+		assertEquals(readUntil(1_090), 1_090);
+	}
+
 	@Test
 	public void metricsTellNumberTotalAndLongestPause() {
 		checkAt(500);
