Accept all connections that wait before the listener closes

New callers of a router that was told to stop and then got no processor were reset without an answer: their connections and requests waited in the kernel.

Cause: a pass of the event loop accepts 16 connections. With time counted up to what has been read, one pass came between the first check after the pause and the close of the listener, and the connections beyond it were reset.

A pass now accepts as many as the queue of the listener holds.

PausedRouterTests.connectionsThatWaitToBeAcceptedAfterAPauseInADrainAreServed opens 20 connections to a stopped router 2.7 s before it goes on.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectFrontend.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectFrontend.java
@@ -12,6 +12,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponse;
@@ -61,6 +62,9 @@
 			.channel(NioServerSocketChannel.class)
 			.option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
 			.option(ChannelOption.SO_REUSEADDR, true)
+			// After a pause all that wait are accepted before the listener may be closed.
+			.option(ChannelOption.RECVBUF_ALLOCATOR,
+					new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPT_BACKLOG))
 			.childOption(ChannelOption.TCP_NODELAY, true)
 			.childHandler(new ChannelInitializer<SocketChannel>() {
 				@Override
