Bound the memory of the requests that a router holds

Cause: DirectCaller allocated the announced length of each body at its first bytes, and nothing bounded the sum; 700 bodies of 144,000 bytes exceed the heap of 96 MB. Pipelined requests were read ahead up to 64 messages of any size for each connection.

Fix: all bodies and requests read ahead share a budget of 32 MB. Memory is reserved before it is allocated and grows with what has arrived. If a reservation does not fit, the bodies that began last are refused with 503 and Retry-After before they are complete, so they have not run, and the older ones complete. Large bodies leave a quarter to small ones. The metrics request-bytes and refused-bodies and the reason of the refusal show it.

Without the refusals in BodyBudget, 6 of 12 BodyBudgetTests and UploadsUseUpTheHeapTests#uploadsThatDoNotFitAreRefusedAndTheOthersAreAnswered fail.

--- a/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
@@ -33,6 +33,7 @@
 import org.acaciamux.internal.process.MetricsText;
 import org.acaciamux.internal.protocol.JsonTrees;
 import org.acaciamux.internal.state.GuardedTask;
+import org.acaciamux.internal.transport.http.direct.BodyBudget;
 import org.acaciamux.internal.transport.http.direct.DirectContext;
 import org.acaciamux.internal.transport.http.direct.DirectFrontend;
 import org.acaciamux.internal.transport.http.direct.DirectMetrics;
@@ -116,6 +117,19 @@
 	 * @param log receives a line for each decision
 	 */
 	public DirectRouter(DirectSettings settings, WireFormat format, Directory.Factory directories, DecisionLog log) {
+		this(settings, format, directories, log, new BodyBudget(BodyBudget.DEFAULT_MAX_BYTES));
+	}
+
+	/**
+	 * Create a router with a budget for the memory of requests.
+	 * @param settings its settings
+	 * @param format reads and writes headers
+	 * @param directories creates the directory
+	 * @param log receives a line for each decision
+	 * @param bodyBudget bounds the memory of requests
+	 */
+	public DirectRouter(DirectSettings settings, WireFormat format, Directory.Factory directories, DecisionLog log,
+			BodyBudget bodyBudget) {
 		this.settings = settings;
 		this.log = log;
 		this.loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
@@ -133,7 +147,8 @@
 				this.clock);
 		RetryBudgets budgets = new RetryBudgets(settings.retryRatio(), settings.retryAllowance());
 		this.context = new DirectContext(this.loop, this.clock, format, this.servers, placement, budgets, suspects,
-				this.promptSuspects, metrics, log);
+				this.promptSuspects, bodyBudget, metrics, log);
+		metrics.bodyBudget(bodyBudget);
 		this.frontend = new DirectFrontend(this.context);
 		DirectoryParts parts = new DirectoryParts(settings, this.loop, this.clock, log);
 		this.directory = directories.create(parts).orElseThrow();
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
@@ -1,8 +1,7 @@
 package org.acaciamux.internal.transport.http.direct;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
@@ -40,12 +39,6 @@
  */
 final class DirectCaller extends ChannelInboundHandlerAdapter {
 
-	/**
-	 * Largest number of messages read ahead while a request is served; reading pauses at
-	 * this limit.
-	 */
-	private static final int MAX_READ_AHEAD = 64;
-
 	/**
 	 * Time in milliseconds until a time limit that has passed is checked again. The event
 	 * loop reads all connections in between, so that a request that has arrived while it
@@ -53,6 +46,15 @@
 	 */
 	private static final long READ_OPPORTUNITY_MS = 20;
 
+	/**
+	 * Shortest time, in milliseconds, after which a caller whose body was refused may
+	 * come back.
+	 */
+	private static final long MIN_RETRY_AFTER_MS = 500;
+
+	/** Longest such time; the callers of a burst come back at different times. */
+	private static final long MAX_RETRY_AFTER_MS = 1_500;
+
 	private final CallerWait wait = new CallerWait();
 
 	private final DirectContext context;
@@ -61,13 +63,14 @@
 
 	private final CallerInput input;
 
-	private final Deque<HttpObject> readAhead = new ArrayDeque<>();
+	private final ReadAhead readAhead;
 
 	private Channel channel;
 
 	private HttpRequest head;
 
-	private ByteBuf body = Unpooled.EMPTY_BUFFER;
+	/** Null until the first head is complete. */
+	private RequestBody body;
 
 	/** Limit in force when the head of the request was read. */
 	private int maxBodyBytes;
@@ -86,6 +89,7 @@
 		this.context = context;
 		this.frontend = frontend;
 		this.input = input;
+		this.readAhead = new ReadAhead(context.bodyBudget());
 	}
 
 	@Override
@@ -111,7 +115,7 @@
 		}
 		if (this.exchange != null) {
 			this.readAhead.add(object);
-			if (this.readAhead.size() >= MAX_READ_AHEAD) {
+			if (this.readAhead.full()) {
 				this.channel.config().setAutoRead(false);
 			}
 			return;
@@ -150,9 +154,13 @@
 		this.keepAlive = HttpUtil.isKeepAlive(request);
 		this.headRequested = request.method().equals(HttpMethod.HEAD);
 		this.supportsChunks = request.protocolVersion().equals(HttpVersion.HTTP_1_1);
-		this.body = Unpooled.EMPTY_BUFFER;
 		RequestFraming.problem(request).ifPresent((problem) -> refuseAndClose(HttpResponseStatus.BAD_REQUEST, problem));
-		if (!this.closing && HttpUtil.is100ContinueExpected(request)) {
+		if (this.closing) {
+			return;
+		}
+		this.body = new RequestBody(this.context.bodyBudget(), HttpUtil.getContentLength(request, 0L),
+				this.maxBodyBytes, this::refuseBody);
+		if (HttpUtil.is100ContinueExpected(request)) {
 			this.channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
 					Unpooled.EMPTY_BUFFER));
 		}
@@ -164,40 +172,50 @@
 		}
 		ByteBuf data = content.content();
 		if (data.isReadable()) {
-			if (this.body.readableBytes() + data.readableBytes() > this.maxBodyBytes) {
+			if (this.body.length() + data.readableBytes() > this.maxBodyBytes) {
 				refuseAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
 						"the body is larger than " + this.maxBodyBytes + " bytes");
 				return;
 			}
-			if (!this.body.isWritable()) {
-				this.body = grow(data);
-			}
-			else {
-				this.body.writeBytes(data);
-			}
+			this.body.add(data);
 		}
-		if (content instanceof LastHttpContent) {
+		if (!this.closing && content instanceof LastHttpContent) {
 			HttpRequest request = this.head;
 			this.head = null;
-			this.exchange = new DirectExchange(this.context, this, request, this.body);
+			this.exchange = new DirectExchange(this.context, this, request, this.body.complete());
 			this.exchange.accept();
 		}
 	}
 
-	private ByteBuf grow(ByteBuf data) {
-		int length = (int) Math.min(HttpUtil.getContentLength(this.head, 0L), this.maxBodyBytes);
-		ByteBuf larger = Unpooled.buffer(Math.max(length, this.body.readableBytes() + data.readableBytes()) + 1);
-		return larger.writeBytes(this.body).writeBytes(data);
+	// The request has not run, because its body is not complete.
+	private void refuseBody() {
+		long ms = ThreadLocalRandom.current().nextLong(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS);
+		this.context.metrics().bodyRefused();
+		refuseAndClose(HttpResponseStatus.SERVICE_UNAVAILABLE, OutgoingHeaders.retryAfter(ms),
+				"the memory for request bodies is used up: held=" + this.context.bodyBudget().bytes() + " announced="
+						+ this.body.announced());
 	}
 
 	private void refuseAndClose(HttpResponseStatus status, String reason) {
+		refuseAndClose(status, OutgoingHeaders.FACTORY.newHeaders(), reason);
+	}
+
+	private void refuseAndClose(HttpResponseStatus status, HttpHeaders headers, String reason) {
 		this.closing = true;
 		this.head = null;
+		releaseBody();
 		this.context.log().line("event=request-invalid status=" + status.code() + " reason=\"" + reason + "\"");
 		DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
 				Unpooled.EMPTY_BUFFER);
+		response.headers().set(headers);
 		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0).set(HttpHeaderNames.CONNECTION, "close");
-		this.channel.writeAndFlush(response).addListener((written) -> LingeringClose.start(this.channel));
+		this.channel.writeAndFlush(response).addListener((sent) -> LingeringClose.start(this.channel));
+	}
+
+	private void releaseBody() {
+		if (this.body != null) {
+			this.body.release();
+		}
 	}
 
 	/**
@@ -290,6 +308,7 @@
 
 	private void finished(boolean last) {
 		this.exchange = null;
+		releaseBody();
 		this.wait.begin(this.context.now(), this.input.hasInput());
 		if (last) {
 			this.closing = true;
@@ -298,7 +317,7 @@
 		while (this.exchange == null && !this.closing && !this.readAhead.isEmpty()) {
 			read(this.readAhead.poll());
 		}
-		this.channel.config().setAutoRead(this.closing || this.readAhead.size() < MAX_READ_AHEAD);
+		this.channel.config().setAutoRead(this.closing || !this.readAhead.full());
 	}
 
 	/**
@@ -357,13 +376,13 @@
 	public void channelInactive(ChannelHandlerContext ctx) {
 		this.closing = true;
 		this.frontend.closed(this);
-		this.readAhead.forEach(ReferenceCountUtil::release);
 		this.readAhead.clear();
 		if (this.exchange != null) {
 			DirectExchange ended = this.exchange;
 			this.exchange = null;
 			ended.callerDisconnected();
 		}
+		releaseBody();
 	}
 
 	@Override
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectContext.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectContext.java
@@ -54,6 +54,8 @@
 
 	private final RecentPlacements placements = new RecentPlacements();
 
+	private final BodyBudget bodyBudget;
+
 	private final HeldBytes heldBytes = new HeldBytes();
 
 	private final Admission admission;
@@ -80,12 +82,13 @@
 	 * @param budgets retry budgets
 	 * @param suspects requests that crash servers
 	 * @param promptSuspects prompt parts that crash servers
+	 * @param bodyBudget bounds the memory of requests
 	 * @param metrics counters and histograms
 	 * @param log receives a line for each decision
 	 */
 	public DirectContext(EventLoop loop, NanoClock clock, WireFormat format, ServerTable servers, Placement placement,
-			RetryBudgets budgets, CrashSuspects suspects, PromptSuspects promptSuspects, DirectMetrics metrics,
-			DecisionLog log) {
+			RetryBudgets budgets, CrashSuspects suspects, PromptSuspects promptSuspects, BodyBudget bodyBudget,
+			DirectMetrics metrics, DecisionLog log) {
 		this.loop = loop;
 		this.clock = clock;
 		this.format = format;
@@ -94,6 +97,7 @@
 		this.budgets = budgets;
 		this.suspects = suspects;
 		this.promptSuspects = promptSuspects;
+		this.bodyBudget = bodyBudget;
 		this.crashCheck = new CrashCheck(this);
 		this.metrics = metrics;
 		this.log = log;
@@ -286,6 +290,10 @@
 		return this.config.flatMap((config) -> config.service(service)).map(ServiceSpec::maxConnections).orElse(1);
 	}
 
+	BodyBudget bodyBudget() {
+		return this.bodyBudget;
+	}
+
 	HeldBytes heldBytes() {
 		return this.heldBytes;
 	}
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectMetrics.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectMetrics.java
@@ -32,6 +32,8 @@
 
 	private final Counter unrequestedResponses;
 
+	private final Counter refusedBodies;
+
 	private final Counter retries;
 
 	private final Counter resumes;
@@ -61,6 +63,7 @@
 		this.foreignResponses = registry.counter(PREFIX + "foreign-responses");
 		this.skippedResponses = registry.counter(PREFIX + "skipped-responses");
 		this.unrequestedResponses = registry.counter(PREFIX + "unrequested-responses");
+		this.refusedBodies = registry.counter(PREFIX + "refused-bodies");
 		this.retries = registry.counter(PREFIX + "retries");
 		this.resumes = registry.counter(PREFIX + "resumes");
 		this.unreadablePeerMessages = registry.counter(PREFIX + "unreadable-peer-messages");
@@ -72,6 +75,14 @@
 		this.totalMs = histogram(PREFIX + "total-ms");
 	}
 
+	/**
+	 * Report the memory of requests.
+	 * @param budget bounds it
+	 */
+	public void bodyBudget(BodyBudget budget) {
+		this.registry.registerGauge(PREFIX + "request-bytes", budget::bytes);
+	}
+
 	private Histogram histogram(String name) {
 		return this.registry.register(name, new Histogram(new SlidingWindowReservoir(HISTOGRAM_VALUES)));
 	}
@@ -96,6 +107,10 @@
 		this.unrequestedResponses.inc();
 	}
 
+	void bodyRefused() {
+		this.refusedBodies.inc();
+	}
+
 	void retry() {
 		this.retries.inc();
 	}
