Close a caller's connection whatever its end throws

Cause: DirectCaller.end and refuseAndClose marked the connection as closing, logged, and closed it last; an error in between left it open for good. A response whose write failed did not close its connection, and a lingering close whose timer could not be scheduled did not end.

Fix: the close runs whatever the steps before it throw, and when a write of the response fails. The timer of the lingering close has no test.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/LingeringClose.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/LingeringClose.java
@@ -27,13 +27,22 @@
 	 * @param connection the connection, whose last response has been written
 	 */
 	public static void start(Channel connection) {
-		connection.config().setAutoRead(true);
-		if (connection instanceof DuplexChannel duplex) {
-			duplex.shutdownOutput();
+		boolean timed = false;
+		try {
+			connection.config().setAutoRead(true);
+			if (connection instanceof DuplexChannel duplex) {
+				duplex.shutdownOutput();
+			}
+			ScheduledFuture<?> timer = connection.eventLoop()
+				.schedule((Runnable) connection::close, DISCARD_LIMIT_MS, TimeUnit.MILLISECONDS);
+			connection.closeFuture().addListener((closed) -> timer.cancel(false));
+			timed = true;
+		}
+		finally {
+			if (!timed) {
+				connection.close();
+			}
 		}
-		ScheduledFuture<?> timer = connection.eventLoop()
-			.schedule((Runnable) connection::close, DISCARD_LIMIT_MS, TimeUnit.MILLISECONDS);
-		connection.closeFuture().addListener((closed) -> timer.cancel(false));
 	}
 
 }
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
@@ -7,6 +7,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.TooLongFrameException;
@@ -204,12 +205,21 @@
 		this.closing = true;
 		this.head = null;
 		releaseBody();
-		this.context.log().line("event=request-invalid status=" + status.code() + " reason=\"" + reason + "\"");
-		DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
-				Unpooled.EMPTY_BUFFER);
-		response.headers().set(headers);
-		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0).set(HttpHeaderNames.CONNECTION, "close");
-		this.channel.writeAndFlush(response).addListener((sent) -> LingeringClose.start(this.channel));
+		boolean written = false;
+		try {
+			this.context.log().line("event=request-invalid status=" + status.code() + " reason=\"" + reason + "\"");
+			DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
+					Unpooled.EMPTY_BUFFER);
+			response.headers().set(headers);
+			response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0).set(HttpHeaderNames.CONNECTION, "close");
+			this.channel.writeAndFlush(response).addListener((sent) -> LingeringClose.start(this.channel));
+			written = true;
+		}
+		finally {
+			if (!written) {
+				this.channel.close();
+			}
+		}
 	}
 
 	private void releaseBody() {
@@ -249,11 +259,11 @@
 			ResetOnClose.enable(this.channel);
 		}
 		markIfLast(response);
-		this.channel.write(response);
+		this.channel.write(response).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
 	}
 
 	void data(ByteBuf data) {
-		this.channel.writeAndFlush(new DefaultHttpContent(data));
+		this.channel.writeAndFlush(new DefaultHttpContent(data)).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
 	}
 
 	/**
@@ -282,8 +292,12 @@
 
 	private void end(CallerEnds.Cause cause, String reason) {
 		this.closing = true;
-		this.frontend.ends().ended(cause, this.wait.ms(this.context.now()), this.readAhead.size(), reason);
-		this.channel.close();
+		try {
+			this.frontend.ends().ended(cause, this.wait.ms(this.context.now()), this.readAhead.size(), reason);
+		}
+		finally {
+			this.channel.close();
+		}
 	}
 
 	private boolean markIfLast(HttpResponse response) {
@@ -298,7 +312,10 @@
 
 	private void finish(HttpObject end, boolean last) {
 		this.channel.writeAndFlush(end).addListener((written) -> {
-			if (last && this.channel.isActive()) {
+			if (!written.isSuccess()) {
+				this.channel.close();
+			}
+			else if (last && this.channel.isActive()) {
 				ResetOnClose.disable(this.channel);
 				LingeringClose.start(this.channel);
 			}
