End the process with a reason when the router's event loop ends

What callers saw: suspected only.

Cause: Netty ends the thread of an event loop after an Error in the loop's own code. The router's other threads keep the process alive, or the process exits with 0 and no line. No run here brought this about, so it is not proved that it is what was seen.

--- a/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
@@ -188,6 +188,15 @@
 		return Optional.empty();
 	}
 
+	/**
+	 * Set what to do if the event loop ends while the router runs, as it does after an
+	 * error in its own code. The router serves nothing from then on.
+	 * @param action the action, which ends the process; called by another thread
+	 */
+	public void whenEventLoopEnds(Runnable action) {
+		this.loop.terminationFuture().addListener((ended) -> action.run());
+	}
+
 	private static int port(ChannelFuture bound) {
 		return ((InetSocketAddress) bound.channel().localAddress()).getPort();
 	}
