--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
@@ -271,7 +271,7 @@
 		if (!HttpUtil.isKeepAlive(response) || this.responseEnd.withConnection()) {
 			this.reusable = false;
 		}
-		readKeepAlive(response);
+		KeepAlive.limitMs(response).ifPresent((ms) -> this.keepAliveMs = ms - KEEP_ALIVE_MARGIN_MS);
 		this.listener.head(response, reply);
 	}
 
@@ -298,22 +298,6 @@
 		}
 	}
 
-	private void readKeepAlive(HttpResponse response) {
-		String value = response.headers().get("Keep-Alive");
-		if (value == null) {
-			return;
-		}
-		int keyIndex = value.indexOf("timeout=");
-		int end = keyIndex + "timeout=".length();
-		int start = end;
-		while (keyIndex >= 0 && end < value.length() && Character.isDigit(value.charAt(end))) {
-			end++;
-		}
-		if (keyIndex >= 0 && end > start && end - start < 9) {
-			this.keepAliveMs = Long.parseLong(value, start, end, 10) * 1000 - KEEP_ALIVE_MARGIN_MS;
-		}
-	}
-
 	private void content(HttpContent content) {
 		boolean last = content instanceof LastHttpContent;
 		if (this.skippingResponse) {
