Match the responses to HEAD by their attempt id, not by their order

Callers got 502 when a server sent a second response on a connection beside a HEAD request: before it, the second response was read without its body, and the body as the next head; after it, the copy of the response to HEAD was read with a body, which took the head of the next response.

Cause: HttpClientCodec pairs the n-th response with the n-th request. ServerResponseDecoder asks the connection whether a response carries the attempt id of the current request and that one is HEAD. A copy of a response to HEAD cannot be told from one with a body, so a connection that carried HEAD is not used again.

Each HEAD now costs a new connection.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
@@ -201,6 +201,19 @@
 		this.channel.config().setAutoRead(reading);
 	}
 
+	/**
+	 * Return whether a response answers the current request, and that one is HEAD.
+	 * @param response the head of the response
+	 * @return whether it does
+	 */
+	boolean answersHead(HttpResponse response) {
+		return this.listener != null && this.method.equals(HttpMethod.HEAD) && match(response) == AttemptMatch.SAME;
+	}
+
+	private AttemptMatch match(HttpResponse response) {
+		return AttemptMatch.of(this.format.reply(response).attemptId(), this.attemptId);
+	}
+
 	@Override
 	protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
 		try {
@@ -237,8 +250,8 @@
 			return;
 		}
 		this.unrequestedReported = true;
-		String response = (message instanceof HttpResponse head) ? " status=" + head.status().code() + " attempt="
-				+ AttemptMatch.of(this.format.reply(head).attemptId(), this.attemptId).label() : "";
+		String response = (message instanceof HttpResponse head)
+				? " status=" + head.status().code() + " attempt=" + match(head).label() : "";
 		this.owner.unrequested(this, (this.owner.now() - this.idleSince) / NANOS_PER_MS, response);
 	}
 
@@ -272,6 +285,10 @@
 			this.reusable = false;
 		}
 		KeepAlive.limitMs(response).ifPresent((ms) -> this.keepAliveMs = ms - KEEP_ALIVE_MARGIN_MS);
+		if (this.method.equals(HttpMethod.HEAD)) {
+			// A later copy of this response could not be told from one with a body.
+			this.reusable = false;
+		}
 		this.listener.head(response, reply);
 	}
 
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannels.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannels.java
@@ -19,7 +19,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.vavr.control.Either;
 import org.agrona.concurrent.NanoClock;
 
@@ -151,7 +151,8 @@
 			.handler(new ChannelInitializer<SocketChannel>() {
 				@Override
 				protected void initChannel(SocketChannel channel) {
-					channel.pipeline().addLast(new HttpClientCodec(), handler);
+					channel.pipeline()
+						.addLast(new HttpRequestEncoder(), new ServerResponseDecoder(handler::answersHead), handler);
 				}
 			})
 			.connect(server.entry().address().toSocketAddress());
