Close idle connections only after what arrived in a pause was read

An idle connection of a caller, or one whose headers are late, is closed 20 ms after that was decided, so that the event loop reads it once more. If the loop is paused within these 20 ms, the action runs first after the pause, because an interrupted selector returns without keys: a request that arrived in the pause is lost with its connection. A drain closes all idle connections in one such step, while callers may still use them.

ReadOpportunity runs the action when everything that arrived before the decision has been read, by DirectContext.readUntil(). The action decides again, as before.

ReadOpportunityTests.pauseAfterTheDecisionDelaysTheAction shows it with a clock and a scheduler of the test; the former code ran the action at its first call. No run with processes has shown such a loss: the pause must begin within the 20 ms.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
@@ -2,7 +2,6 @@
 
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -40,13 +39,6 @@
  */
 final class DirectCaller extends ChannelInboundHandlerAdapter {
 
-	/**
-	 * Time in milliseconds until a time limit that has passed is checked again. The event
-	 * loop reads all connections in between, so that a request that has arrived while it
-	 * was busy is served.
-	 */
-	private static final long READ_OPPORTUNITY_MS = 20;
-
 	/**
 	 * Shortest time, in milliseconds, after which a caller whose body was refused may
 	 * come back.
@@ -344,7 +336,7 @@
 	 */
 	void tick(long headerTimeoutMs, long idleTimeoutMs) {
 		if (overdue(headerTimeoutMs, idleTimeoutMs).isPresent()) {
-			afterReading(() -> overdue(headerTimeoutMs, idleTimeoutMs).ifPresent(this::timedOut));
+			this.context.afterReading(() -> overdue(headerTimeoutMs, idleTimeoutMs).ifPresent(this::timedOut));
 		}
 	}
 
@@ -363,10 +355,6 @@
 		}
 	}
 
-	private void afterReading(Runnable action) {
-		this.context.loop().schedule(action, READ_OPPORTUNITY_MS, TimeUnit.MILLISECONDS);
-	}
-
 	private boolean idle() {
 		return this.exchange == null && !this.closing && this.wait.forRequest();
 	}
@@ -375,7 +363,7 @@
 		if (!idle()) {
 			return;
 		}
-		afterReading(() -> {
+		this.context.afterReading(() -> {
 			if (idle()) {
 				end(CallerEnds.Cause.DRAIN, "the router stops");
 			}
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectContext.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectContext.java
@@ -79,6 +79,8 @@
 
 	private final LoopPauses pauses;
 
+	private final ReadOpportunity readOpportunity;
+
 	/**
 	 * Create the shared components.
 	 * @param loop the event loop of the router
@@ -112,6 +114,7 @@
 		this.log = log;
 		this.admission = new Admission(clock);
 		this.pauses = new LoopPauses(clock.nanoTime(), new ThreadTimes()::read, metrics, log);
+		this.readOpportunity = new ReadOpportunity(clock, this::readUntil, loop::schedule);
 		this.channels = new ServerChannels(loop, servers, format, clock, this::connectionShare, metrics, log);
 	}
 
@@ -231,6 +234,14 @@
 		return this.pauses.readUntil(now());
 	}
 
+	/**
+	 * Run an action when everything that has arrived by now has been read.
+	 * @param action the action, which decides again
+	 */
+	void afterReading(Runnable action) {
+		this.readOpportunity.after(action);
+	}
+
 	/**
 	 * End all requests in progress because the process stops.
 	 */
