--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/CrashSuspects.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/CrashSuspects.java
@@ -114,18 +114,18 @@
 
 	private void evictBrokenResponse() {
 		BrokenResponse evicted = this.brokenResponses.stream()
-			.filter((broken) -> crashCount(broken.fingerprint) == 0)
+			.filter((broken) -> crashCount(broken.fingerprint()) == 0)
 			.findFirst()
 			.orElse(this.brokenResponses.get(0));
 		this.brokenResponses.remove(evicted);
-		this.observer.changed(Change.EVICTED, subject(evicted.fingerprint), "server=" + evicted.server);
+		this.observer.changed(Change.EVICTED, subject(evicted.fingerprint()), "server=" + evicted.server());
 	}
 
 	private void expireBrokenResponses(long now) {
 		this.brokenResponses.removeIf((broken) -> {
-			boolean expired = now - broken.at > CONFIRM_NANOS;
+			boolean expired = now - broken.at() > CONFIRM_NANOS;
 			if (expired) {
-				this.observer.changed(Change.UNCONFIRMED, subject(broken.fingerprint), "server=" + broken.server);
+				this.observer.changed(Change.UNCONFIRMED, subject(broken.fingerprint()), "server=" + broken.server());
 			}
 			return expired;
 		});
@@ -137,7 +137,7 @@
 	 * @param server the {@link ServerState#observedLifetime()} of the server
 	 */
 	public void lives(String server) {
-		this.brokenResponses.replaceAll((broken) -> broken.server.equals(server) ? broken.withoutDoubt() : broken);
+		this.brokenResponses.replaceAll((broken) -> broken.server().equals(server) ? broken.withoutDoubt() : broken);
 	}
 
 	/**
@@ -149,15 +149,15 @@
 		long now = this.clock.nanoTime();
 		expireBrokenResponses(now);
 		List<BrokenResponse> confirmed = this.brokenResponses.stream()
-			.filter((broken) -> broken.server.equals(server))
+			.filter((broken) -> broken.server().equals(server))
 			// Known suspects first, before new ones evict them.
-			.sorted(Comparator.comparing((broken) -> crashCount(broken.fingerprint) == 0))
+			.sorted(Comparator.comparing((broken) -> crashCount(broken.fingerprint()) == 0))
 			.toList();
 		this.brokenResponses.removeAll(confirmed);
 		for (BrokenResponse broken : confirmed) {
-			int crashes = recordCrash(broken.fingerprint, server);
-			this.observer.changed(Change.CONFIRMED, subject(broken.fingerprint),
-					"server=" + server + " crashes=" + crashes + " afterMs=" + (now - broken.at) / NANOS_PER_MS);
+			int crashes = recordCrash(broken.fingerprint(), server);
+			this.observer.changed(Change.CONFIRMED, subject(broken.fingerprint()),
+					"server=" + server + " crashes=" + crashes + " afterMs=" + (now - broken.at()) / NANOS_PER_MS);
 		}
 	}
 
@@ -270,8 +270,8 @@
 		Set<String> servers = new HashSet<>(crashes(fingerprint).keySet());
 		expireBrokenResponses(this.clock.nanoTime());
 		this.brokenResponses.stream()
-			.filter((broken) -> broken.inDoubt && broken.fingerprint == fingerprint)
-			.forEach((broken) -> servers.add(broken.server));
+			.filter((broken) -> broken.inDoubt() && broken.fingerprint() == fingerprint)
+			.forEach((broken) -> servers.add(broken.server()));
 		return servers.size();
 	}
 
@@ -370,15 +370,6 @@
 	public record Crashes(Map<String, Long> ageMs, OptionalLong clearedAgeMs) {
 	}
 
-	// In doubt until it is known whether the server crashed.
-	private record BrokenResponse(long fingerprint, String server, long at, boolean inDoubt) {
-
-		BrokenResponse withoutDoubt() {
-			return new BrokenResponse(this.fingerprint, this.server, this.at, false);
-		}
-
-	}
-
 	private static final class Suspect {
 
 		private static final Comparator<Suspect> MOST_URGENT_FIRST = Comparator
