Do not refuse sound requests whose responses end with their connection

Fix: a response that ended with its connection counts only once a server is known to have crashed with the request. Responses with a missing part count as before, and each crash still counts when the check has found it.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/CrashSuspects.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/CrashSuspects.java
@@ -13,6 +13,7 @@
 
 import org.agrona.concurrent.NanoClock;
 
+import org.acaciamux.internal.coordination.direct.BrokenResponse.Doubt;
 import org.acaciamux.internal.coordination.direct.CrashObserver.Change;
 
 /**
@@ -20,7 +21,8 @@
  * crashes every server that runs it while its caller resends it through any router.
  * Invariants: a request is refused only while it was in flight at
  * {@link #CRASHES_TO_REFUSE} different servers that crashed, or of which it is not known
- * yet whether they did; at most {@link #MAX_ENTRIES} suspects and
+ * yet whether they did; without a sign of a crash, responses that end with their
+ * connection refuse nothing; at most {@link #MAX_ENTRIES} suspects and
  * {@link #MAX_BROKEN_RESPONSES} broken responses are kept. Confined to the event loop.
  */
 public final class CrashSuspects {
@@ -99,10 +101,24 @@
 	 * @param server the {@link ServerState#observedLifetime()} of the server
 	 */
 	public void brokeOff(long fingerprint, String server) {
+		suspect(fingerprint, server, Doubt.BROKEN);
+	}
+
+	/**
+	 * Record that a response ended with its connection, and has neither a length nor
+	 * chunks. Counts like a broken one, except that this alone does not refuse a request.
+	 * @param fingerprint the request's fingerprint
+	 * @param server the {@link ServerState#observedLifetime()} of the server
+	 */
+	public void endedWithConnection(long fingerprint, String server) {
+		suspect(fingerprint, server, Doubt.ENDED);
+	}
+
+	private void suspect(long fingerprint, String server, Doubt doubt) {
 		long now = this.clock.nanoTime();
 		expireBrokenResponses(now);
 		this.observer.changed(Change.SUSPECTED, subject(fingerprint), "server=" + server);
-		this.brokenResponses.add(new BrokenResponse(fingerprint, server, now, true));
+		this.brokenResponses.add(new BrokenResponse(fingerprint, server, now, doubt));
 		if (this.brokenResponses.size() > MAX_BROKEN_RESPONSES) {
 			evictBrokenResponse();
 		}
@@ -268,9 +284,10 @@
 
 	private int possibleCrashCount(long fingerprint) {
 		Set<String> servers = new HashSet<>(crashes(fingerprint).keySet());
+		boolean crashKnown = !servers.isEmpty();
 		expireBrokenResponses(this.clock.nanoTime());
 		this.brokenResponses.stream()
-			.filter((broken) -> broken.inDoubt() && broken.fingerprint() == fingerprint)
+			.filter((broken) -> broken.fingerprint() == fingerprint && broken.doubt().counts(crashKnown))
 			.forEach((broken) -> servers.add(broken.server()));
 		return servers.size();
 	}
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/CrashCheck.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/CrashCheck.java
@@ -51,7 +51,8 @@
 	 * @param send the send
 	 */
 	void brokeOff(long fingerprint, ServerSend send) {
-		start(fingerprint, send, this.context.now() + IN_FLIGHT_NANOS);
+		this.context.suspects().brokeOff(fingerprint, send.server().observedLifetime());
+		start(send, this.context.now() + IN_FLIGHT_NANOS);
 	}
 
 	/**
@@ -61,7 +62,8 @@
 	 * @param send the send
 	 */
 	void silent(long fingerprint, ServerSend send) {
-		start(fingerprint, send, this.context.now());
+		this.context.suspects().brokeOff(fingerprint, send.server().observedLifetime());
+		start(send, this.context.now());
 	}
 
 	/**
@@ -71,14 +73,15 @@
 	 * @param action called if the server lives
 	 */
 	void endedWithConnection(long fingerprint, ServerSend send, Runnable action) {
-		this.actions.computeIfAbsent(send.server().observedLifetime(), (key) -> new ArrayList<>()).add(action);
-		brokeOff(fingerprint, send);
+		String lifetime = send.server().observedLifetime();
+		this.actions.computeIfAbsent(lifetime, (key) -> new ArrayList<>()).add(action);
+		this.context.suspects().endedWithConnection(fingerprint, lifetime);
+		start(send, this.context.now() + IN_FLIGHT_NANOS);
 	}
 
-	private void start(long fingerprint, ServerSend send, long livesIfReceivedAfter) {
+	private void start(ServerSend send, long livesIfReceivedAfter) {
 		ServerState server = send.server();
 		String lifetime = server.observedLifetime();
-		this.context.suspects().brokeOff(fingerprint, lifetime);
 		this.context.promptSuspects().brokeOff(send.promptRun(), lifetime);
 		if (this.checking.put(lifetime, livesIfReceivedAfter) == null) {
 			this.context.loop().schedule(() -> check(server, lifetime), DELAY_MS, TimeUnit.MILLISECONDS);
--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/CrashSuspectsTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/CrashSuspectsTests.java
@@ -138,6 +138,43 @@
 		assertFalse(suspects.shouldRefuse(CRASHING));
 	}
 
+	// Guards against sound requests that are refused because their responses have no
+	// length.
+	@Test
+	public void responsesThatEndWithTheirConnectionRefuseNothingWithoutASignOfACrash() {
+		CrashSuspects suspects = suspects();
+		for (String server : List.of("a", "b", "c", "d", "e")) {
+			suspects.endedWithConnection(CRASHING, server);
+			assertFalse(suspects.shouldRefuse(CRASHING));
+		}
+	}
+
+	@Test
+	public void responsesThatEndWithTheirConnectionCountOnceACrashIsKnown() {
+		CrashSuspects suspects = suspects();
+		for (String server : List.of("a", "b", "c")) {
+			suspects.endedWithConnection(CRASHING, server);
+		}
+		suspects.lifetimeEnded("a");
+		assertTrue(suspects.shouldRefuse(CRASHING));
+		suspects.lives("b");
+		assertFalse(suspects.shouldRefuse(CRASHING));
+		suspects.lifetimeEnded("b");
+		assertTrue(suspects.shouldRefuse(CRASHING));
+	}
+
+	@Test
+	public void serversThatCrashAfterCompleteLookingResponsesAreCounted() {
+		CrashSuspects suspects = suspects();
+		for (String server : List.of("a", "b", "c")) {
+			assertFalse(suspects.shouldRefuse(CRASHING));
+			suspects.endedWithConnection(CRASHING, server);
+			suspects.lifetimeEnded(server);
+		}
+		assertTrue(suspects.shouldRefuse(CRASHING));
+		assertTrue(suspects.refusedForMs(CRASHING) > 0);
+	}
+
 	@Test
 	public void brokenResponsesOfOneServerCountOnce() {
 		CrashSuspects suspects = suspects();
