Share the connections of a server by the fleet that may open them

Callers could see requests fail at servers that had no connection left: a router that had just started counted itself as the only one and could open all connections that a server accepts, and one that heard nothing of the others for 1.5 s their share. A share that shrank closed nothing, so that routers that joined found the connections taken.

The share now comes from FleetSize: two connections until another router or the list of the directory is known, then the limit divided by the routers that may serve. Idle connections beyond the share are closed, the oldest first.

That a caller was harmed by it is not shown.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/FleetSize.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/FleetSize.java
@@ -121,6 +121,17 @@
 		return this.listed ? OptionalInt.of(known()) : OptionalInt.empty();
 	}
 
+	/**
+	 * Return this router's share of the connections that a backend server accepts.
+	 * @param limit the connections that it accepts from all routers
+	 * @param minimum the connections that every router may open
+	 * @return the share; the minimum as long as no router is known
+	 */
+	public int connections(int limit, int minimum) {
+		boolean unknown = !this.listed && this.members.isEmpty();
+		return unknown ? minimum : Math.max(minimum, limit / known());
+	}
+
 	private static final class Member {
 
 		private long silentNanos;
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectContext.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectContext.java
@@ -330,7 +330,7 @@
 	}
 
 	private int connectionShare(int maxConnections) {
-		return Math.max(MIN_CONNECTION_SHARE, maxConnections / this.fleet.known());
+		return this.fleet.connections(maxConnections, MIN_CONNECTION_SHARE);
 	}
 
 }
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannels.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannels.java
@@ -109,7 +109,8 @@
 
 	private void open(ServerState server, Pool pool, int maxConnections,
 			Consumer<Either<Unavailable, ServerChannel>> action) {
-		if (pool.open >= this.connectionShare.applyAsInt(maxConnections)) {
+		pool.maxConnections = maxConnections;
+		if (pool.open >= share(pool)) {
 			action.accept(
 					Either.left(new Unavailable(false, "this router's share of the server's connections is in use")));
 			return;
@@ -168,6 +169,10 @@
 		pool.idle.addFirst(channel);
 	}
 
+	private int share(Pool pool) {
+		return this.connectionShare.applyAsInt(pool.maxConnections);
+	}
+
 	void closed(ServerChannel channel) {
 		Pool pool = this.pools.get(channel.serverId());
 		if (pool != null) {
@@ -177,8 +182,8 @@
 	}
 
 	/**
-	 * Close idle connections that are too old and those to servers that are no longer
-	 * listed.
+	 * Close idle connections that are too old, those to servers that are no longer
+	 * listed, and those beyond this router's share, which other routers may need.
 	 */
 	void tick() {
 		long now = now();
@@ -189,6 +194,9 @@
 				.filter((channel) -> !known || !channel.usable(now))
 				.toList()
 				.forEach(ServerChannel::close);
+			for (int excess = pool.open - share(pool); excess > 0 && !pool.idle.isEmpty(); excess--) {
+				pool.idle.removeLast().close();
+			}
 			if (!known && pool.open <= 0) {
 				removable.add(id);
 			}
@@ -261,6 +269,9 @@
 
 		private int open;
 
+		/** Connections that the server accepts from all routers. */
+		private int maxConnections;
+
 		ServerChannel poll(long now) {
 			ServerChannel channel = this.idle.pollFirst();
 			while (channel != null && !channel.usable(now)) {
--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/FleetLimitTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/FleetLimitTests.java
@@ -19,6 +19,8 @@
 
 	private static final int ALLOWANCE = 54;
 
+	private static final int CONNECTIONS = 64;
+
 	private final ManualClock clock = new ManualClock();
 
 	@DataProvider
@@ -181,6 +183,22 @@
 		assertEquals(fleet.divisor(), OptionalInt.of(1));
 	}
 
+	@Test
+	public void connectionsOfAllRoutersStayWithinTheLimitOfAServer() {
+		LimitedFleet fleet = new LimitedFleet(ALLOWANCE, 0);
+		fleet.start(LimitedFleet.names(0, 8));
+		assertTrue(fleet.connections(CONNECTIONS) <= CONNECTIONS, "just started");
+		fleet.run(5_000);
+		assertEquals(fleet.connections(CONNECTIONS), CONNECTIONS);
+		fleet.move(LimitedFleet.names(0, 4), 1);
+		fleet.run(200_000);
+		assertTrue(fleet.connections(CONNECTIONS) <= CONNECTIONS, "cut off");
+		fleet.move(LimitedFleet.names(0, 8), 0);
+		fleet.start(LimitedFleet.names(8, 16));
+		fleet.run(ExchangePolicy.PACE_MS);
+		assertTrue(fleet.connections(CONNECTIONS) <= CONNECTIONS, "joined by eight");
+	}
+
 	private static LimitedFleet fleet(int routers, int requests) {
 		LimitedFleet fleet = new LimitedFleet(ALLOWANCE, requests);
 		fleet.start(LimitedFleet.names(0, routers));
--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/LimitedFleet.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/LimitedFleet.java
@@ -143,6 +143,15 @@
 		return retries;
 	}
 
+	/**
+	 * Return the connections to a server that the routers may open together.
+	 * @param limit the connections that the server accepts
+	 * @return the sum of their shares
+	 */
+	int connections(int limit) {
+		return this.running.values().stream().mapToInt((router) -> router.fleet.connections(limit, 2)).sum();
+	}
+
 	private record Interval(int requests, int retries) {
 	}
 
--- a/server/src/test/java/org/acaciamux/internal/transport/http/direct/ServerChannelsTests.java
+++ b/server/src/test/java/org/acaciamux/internal/transport/http/direct/ServerChannelsTests.java
@@ -4,6 +4,10 @@
 import java.io.PrintStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -25,7 +29,9 @@
 import org.acaciamux.internal.event.DecisionLog;
 import org.acaciamux.settings.Endpoint;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
 /**
@@ -44,6 +50,9 @@
 
 	private ServerChannels channels;
 
+	/** This router's share of the connections, changed on the event loop. */
+	private int share = MAX_CONNECTIONS;
+
 	@BeforeMethod
 	public void start() throws IOException {
 		this.loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -52,7 +61,7 @@
 		DecisionLog log = new DecisionLog(new PrintStream(PrintStream.nullOutputStream()), SystemNanoClock.INSTANCE,
 				SystemEpochClock.INSTANCE);
 		this.channels = new ServerChannels(this.loop.next(), this.servers, null, SystemNanoClock.INSTANCE,
-				(most) -> most, new DirectMetrics(new MetricRegistry()), log);
+				(most) -> this.share, new DirectMetrics(new MetricRegistry()), log);
 		list(false);
 	}
 
@@ -102,6 +111,34 @@
 		assertLeft(acquireDuring(() -> this.servers.replace(Map.of())));
 	}
 
+	/**
+	 * Connections that an earlier, larger share allowed took the place of those of
+	 * routers that had joined.
+	 */
+	@Test
+	public void idleConnectionsBeyondAShareThatShrankAreClosed() throws Exception {
+		List<ServerChannel> open = new ArrayList<>();
+		List<Socket> accepted = new ArrayList<>();
+		for (int i = 0; i < 4; i++) {
+			open.add(acquireDuring(() -> {
+			}).get());
+			accepted.add(this.socket.accept());
+		}
+		this.loop.submit(() -> {
+			open.forEach(this.channels::release);
+			this.share = 2;
+			this.channels.tick();
+		}).get(20, TimeUnit.SECONDS);
+		for (Socket closed : accepted.subList(0, 2)) {
+			closed.setSoTimeout(20_000);
+			assertEquals(closed.getInputStream().read(), -1);
+		}
+		for (Socket kept : accepted.subList(2, 4)) {
+			kept.setSoTimeout(100);
+			assertThrows(SocketTimeoutException.class, () -> kept.getInputStream().read());
+		}
+	}
+
 	private static void assertLeft(Either<ServerChannels.Unavailable, ServerChannel> result) {
 		assertTrue(result.isLeft());
 		assertFalse(result.getLeft().refused(), "a server that leaves is no unreachable one");
