Let a router that joins the fleet retry its first requests

A router whose entry the directory did not have yet joins the fleet: no earlier process of it can have used its share. It has the grant of a tenth of the time at its start, and of a quarter if nobody else is listed. A router that was killed leaves its entry and has no head start, so that any series of kills in one window adds at most a quarter of the divided share. The divided share is 0.55 and the whole of it is granted within four windows: all of it, a quarter of it and the head starts of up to 30 routers that have left and join again at once stay within the allowance (routersThatLeaveAndJoinAgainStayWithinTheAllowance). Two such rounds within one window are not covered.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/RetryBudgets.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/RetryBudgets.java
@@ -13,7 +13,7 @@
  * their number. Invariants: in any window, the retries of a router are at most its share
  * of the allowance plus the ratio of its requests; a router that has started is granted
  * its share over {@link #GRANT_MS}, so that all restarts within one window add at most a
- * third of it; retries that were used stay used when the share changes. Confined to the
+ * quarter of it; retries that were used stay used when the share changes. Confined to the
  * event loop.
  */
 public final class RetryBudgets {
@@ -22,17 +22,29 @@
 	static final long WINDOW_MS = 10_000;
 
 	/**
-	 * Time from the start until a router has its whole share, in milliseconds: three
+	 * Time from the start until a router has its whole share, in milliseconds: four
 	 * windows.
 	 */
-	static final long GRANT_MS = 3 * WINDOW_MS;
+	static final long GRANT_MS = 4 * WINDOW_MS;
 
 	/**
-	 * Share of the limits that is divided. The rest covers what routers are granted that
-	 * start while the retries of those before them are still in the window: a third of
-	 * this share.
+	 * Time of which a router has the grant when it joins the fleet, in milliseconds, so
+	 * that it can retry its first requests. A router that is killed and starts again has
+	 * none.
 	 */
-	private static final double USED_SHARE = 0.7;
+	static final long HEAD_START_MS = GRANT_MS / 10;
+
+	/** The same time for the first router of a fleet, which nobody else serves. */
+	static final long FIRST_HEAD_START_MS = GRANT_MS / 4;
+
+	/**
+	 * Share of the allowance that is divided. The rest covers what routers are granted
+	 * that start while the retries of those before them are still in the window.
+	 */
+	private static final double DIVIDED_SHARE = 0.55;
+
+	/** Share of the ratio that is used. */
+	private static final double USED_RATIO = 0.7;
 
 	/** Covers rounding errors of added ratios, in retries. */
 	private static final double ROUNDING = 1e-6;
@@ -49,6 +61,12 @@
 
 	private double share;
 
+	private boolean joined;
+
+	private boolean known;
+
+	private long headStartMs;
+
 	/**
 	 * Create the budgets of a router that has just started.
 	 * @param ratio retries for each request that the fleet allows, 0.0 to 1.0
@@ -56,8 +74,8 @@
 	 * @param clock the monotonic clock
 	 */
 	public RetryBudgets(double ratio, double allowance, NanoClock clock) {
-		this.ratio = ratio * USED_SHARE;
-		this.allowance = allowance * USED_SHARE;
+		this.ratio = ratio * USED_RATIO;
+		this.allowance = allowance * DIVIDED_SHARE;
 		this.clock = clock;
 		this.startedAt = clock.nanoTime();
 	}
@@ -68,13 +86,28 @@
 	 * the requests allows are made
 	 */
 	public void routers(OptionalInt divisor) {
+		if (divisor.isPresent() && !this.known) {
+			this.known = true;
+			this.headStartMs = this.joined ? headStartMs(divisor.getAsInt()) : 0;
+		}
 		this.share = divisor.isPresent() ? this.allowance / divisor.getAsInt() : 0;
 	}
 
-	// One retry can be saved up from the ratio, whatever the share is.
-	private double capacity() {
+	private static long headStartMs(int routers) {
+		return (routers == 1) ? FIRST_HEAD_START_MS : HEAD_START_MS;
+	}
+
+	/**
+	 * Record that this router has joined the fleet, in which no earlier process of it can
+	 * have used its share. Called before the number of routers is known.
+	 */
+	public void joined() {
+		this.joined = true;
+	}
+
+	private double granted() {
 		long uptimeMs = TimeUnit.NANOSECONDS.toMillis(this.clock.nanoTime() - this.startedAt);
-		return Math.max(1, this.share * Math.min(1, (double) uptimeMs / GRANT_MS));
+		return this.share * Math.min(1, (double) (this.headStartMs + uptimeMs) / GRANT_MS);
 	}
 
 	/**
@@ -82,7 +115,7 @@
 	 * @param service the service that serves it
 	 */
 	public void recordRequest(String service) {
-		budget(service).giveBack(this.ratio);
+		budget(service).giveBack(this.ratio, granted());
 	}
 
 	/**
@@ -91,7 +124,7 @@
 	 * @return whether the retry is allowed
 	 */
 	public boolean tryRetry(String service) {
-		return budget(service).use(capacity());
+		return budget(service).use(granted());
 	}
 
 	/**
@@ -99,7 +132,7 @@
 	 * @param service the service that serves it
 	 */
 	public void returnRetry(String service) {
-		budget(service).giveBack(1);
+		budget(service).giveBack(1, granted());
 	}
 
 	private Budget budget(String service) {
@@ -108,21 +141,30 @@
 
 	private static final class Budget {
 
-		/** Retries in use. The first one has to be earned by requests. */
-		private double used = 1;
+		/**
+		 * Retries used and not yet given back. Below 0 while a smaller grant is topped up
+		 * to one retry.
+		 */
+		private double used;
 
-		void giveBack(double retries) {
-			this.used = Math.max(0, this.used - retries);
+		void giveBack(double retries, double granted) {
+			this.used = Math.max(this.used - retries, least(granted));
 		}
 
-		boolean use(double capacity) {
-			if (this.used + 1 > capacity + ROUNDING) {
+		boolean use(double granted) {
+			this.used = Math.max(this.used, least(granted));
+			if (this.used + 1 > granted + ROUNDING) {
 				return false;
 			}
 			this.used++;
 			return true;
 		}
 
+		// The ratio of the requests saves up one retry, whatever the share is.
+		private static double least(double granted) {
+			return Math.min(0, granted - 1);
+		}
+
 	}
 
 }
--- a/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
@@ -288,6 +288,11 @@
 		}
 	}
 
+	@Override
+	public void joined() {
+		this.context.joined();
+	}
+
 	@Override
 	public void routers(List<Endpoint> routers) {
 		routers.forEach(this.peers::addPeer);
--- a/server/src/main/java/org/acaciamux/internal/process/direct/Directory.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/Directory.java
@@ -131,8 +131,14 @@
 		void servers(List<ServerEntry> servers);
 
 		/**
-		 * Other routers were found.
-		 * @param routers the endpoints at which they receive messages
+		 * This router was entered for the first time. Not called if the directory had an
+		 * entry of it, which an earlier process leaves that was killed.
+		 */
+		void joined();
+
+		/**
+		 * The routers were listed.
+		 * @param routers the endpoints at which all of them receive messages
 		 */
 		void routers(List<Endpoint> routers);
 
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectContext.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectContext.java
@@ -187,6 +187,13 @@
 		this.placement.routers(this.fleet.known());
 	}
 
+	/**
+	 * Record that this router has joined the fleet and is no restarted part of it.
+	 */
+	public void joined() {
+		this.budgets.joined();
+	}
+
 	/**
 	 * Return the placements since the last message to the other routers.
 	 * @return the placements, with their prompts
--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/FleetLimitTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/FleetLimitTests.java
@@ -67,6 +67,16 @@
 		fleet.run(60_000);
 	}
 
+	@Test(dataProvider = "fleets")
+	public void routersThatLeaveAndJoinAgainStayWithinTheAllowance(int routers, int requests) {
+		LimitedFleet fleet = fleet(routers, requests);
+		fleet.run(1_000);
+		fleet.leave(LimitedFleet.names(0, routers));
+		fleet.run(3_000);
+		fleet.start(LimitedFleet.names(0, routers));
+		fleet.run(60_000);
+	}
+
 	@Test
 	public void routersThatStartWithoutTheirDirectoryDoNotTakeTheShareOfOthers() {
 		LimitedFleet fleet = fleet(4, 5);
@@ -100,6 +110,16 @@
 		}
 	}
 
+	@Test
+	public void onlyRouterOfAFleetHasRetriesWhenItJoins() {
+		RetryBudgets budgets = new RetryBudgets(0, ALLOWANCE, this.clock);
+		budgets.joined();
+		budgets.routers(OptionalInt.of(1));
+		for (int i = 0; i < 3; i++) {
+			assertTrue(budgets.tryRetry(LimitedFleet.SERVICE));
+		}
+	}
+
 	@Test
 	public void routerThatStartsHasARetryAfterItsFirstRequests() {
 		RetryBudgets budgets = new RetryBudgets(LimitedFleet.RATIO, ALLOWANCE, this.clock);
