Write the last lines of a log that is closed before its thread has run

A process that was closed early, or got no processor, lost its last lines.

Cause: the writer checks for the close before it waits for a line, and wrote the waiting lines only if the close interrupted its wait. close() also waited for 200 ms only.

The writer writes the waiting lines whenever it ends; close() waits for up to 1 s for a reader that is slow.

--- a/server/src/main/java/org/acaciamux/internal/event/DecisionLog.java
+++ b/server/src/main/java/org/acaciamux/internal/event/DecisionLog.java
@@ -33,6 +33,9 @@
 	/** Pause between two batches, in milliseconds: limits the number of writes. */
 	private static final long BATCH_INTERVAL_MS = 100;
 
+	/** Longest wait of {@link #close} for a reader that is slow, in milliseconds. */
+	private static final long CLOSE_TIMEOUT_MS = 1_000;
+
 	private final BlockingQueue<String> waiting = new ArrayBlockingQueue<>(CAPACITY);
 
 	private final AtomicLong dropped = new AtomicLong();
@@ -86,9 +89,10 @@
 			}
 		}
 		catch (InterruptedException ex) {
-			// close() has interrupted this thread: write the waiting lines.
-			flush(batch);
+			// close() has interrupted this thread.
 		}
+		// This thread may not have run before close().
+		flush(batch);
 	}
 
 	private void flush(List<String> batch) {
@@ -133,7 +137,7 @@
 		this.closed = true;
 		this.writer.interrupt();
 		try {
-			this.writer.join(BATCH_INTERVAL_MS * 2);
+			this.writer.join(CLOSE_TIMEOUT_MS);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
--- a/server/src/test/java/org/acaciamux/internal/event/DecisionLogTests.java
+++ b/server/src/test/java/org/acaciamux/internal/event/DecisionLogTests.java
@@ -75,6 +75,21 @@
 		assertEquals(written.toString().lines().filter((line) -> line.endsWith(text)).count(), 100);
 	}
 
+	/**
+	 * The last lines of a process were missing if its log was closed before the
+	 * background thread had run.
+	 */
+	@Test
+	public void linesOfALogThatIsClosedAtOnceAreWritten() {
+		for (int i = 0; i < 500; i++) {
+			ByteArrayOutputStream written = new ByteArrayOutputStream();
+			DecisionLog log = new DecisionLog(written, () -> 0, () -> 0);
+			log.line("event=last");
+			log.close();
+			assertTrue(written.toString().endsWith("event=last\n"), "log " + i + ": " + written);
+		}
+	}
+
 	@Test
 	public void linesWhoseWriteFailsAreCounted() throws InterruptedException {
 		ByteArrayOutputStream written = new ByteArrayOutputStream();
