Load the garbage collector beans outside the event loop

They are loaded by a thread of their own at the first pause after the start; until then the line says gcTotalMs=-1.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/LoopPauses.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/LoopPauses.java
@@ -2,6 +2,7 @@
 
 import java.lang.management.GarbageCollectorMXBean;
 import java.lang.management.ManagementFactory;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.Supplier;
 
@@ -30,6 +31,11 @@
 
 	private Optional<ThreadTimes.Times> lastTimes = Optional.empty();
 
+	/** Empty until they have been loaded. */
+	private volatile List<GarbageCollectorMXBean> collectors = List.of();
+
+	private boolean collectorsRequested;
+
 	private long lastCheckAt;
 
 	/** What the last check returned, if it was late. */
@@ -67,9 +73,25 @@
 				+ " waitedMs=" + spent(before, ThreadTimes.Times::waitedMs) + " gcTotalMs=" + gcTotalMs()
 				+ " sinceLastMs=" + (lastAt - this.lastPauseEndedAt) / NANOS_PER_MS);
 		this.lastPauseEndedAt = now;
+		// Not in the start of the process, which it would delay.
+		if (before.isPresent()) {
+			loadCollectors();
+		}
 		return lastAt;
 	}
 
+	// Takes too long for the event loop at the first call.
+	private void loadCollectors() {
+		if (this.collectorsRequested) {
+			return;
+		}
+		this.collectorsRequested = true;
+		Thread thread = new Thread(() -> this.collectors = ManagementFactory.getGarbageCollectorMXBeans(),
+				"garbage-collector-beans");
+		thread.setDaemon(true);
+		thread.start();
+	}
+
 	/**
 	 * Return the time up to which everything that arrived has been read. What arrived in
 	 * a pause has been read when the next check is in time.
@@ -86,11 +108,10 @@
 		return before.flatMap((from) -> this.lastTimes.map((to) -> field.of(to) - field.of(from))).orElse(-1L);
 	}
 
-	private static long gcTotalMs() {
-		return ManagementFactory.getGarbageCollectorMXBeans()
-			.stream()
-			.mapToLong(GarbageCollectorMXBean::getCollectionTime)
-			.sum();
+	// Returns -1 if it is not known.
+	private long gcTotalMs() {
+		List<GarbageCollectorMXBean> loaded = this.collectors;
+		return loaded.isEmpty() ? -1 : loaded.stream().mapToLong(GarbageCollectorMXBean::getCollectionTime).sum();
 	}
 
 	private interface Field {
--- a/server/src/test/java/org/acaciamux/internal/transport/http/direct/LoopPausesTests.java
+++ b/server/src/test/java/org/acaciamux/internal/transport/http/direct/LoopPausesTests.java
@@ -70,6 +70,12 @@
 		assertTrue(lines.contains(" sinceLastMs=40"), lines);
 	}
 
+	@Test
+	public void startDoesNotLoadTheGarbageCollectorBeans() {
+		checkAt(500);
+		assertTrue(lines().contains(" gcTotalMs=-1 "), lines());
+	}
+
 	@Test
 	public void punctualCheckIsNotAPause() {
 		checkAt(40);
