Let the routers of a test have their whole share of the allowance

The clock now advances by the time until the whole share is granted. Both bounds are as they were; the test passes with them.

--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/FleetStateTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/FleetStateTests.java
@@ -152,6 +152,7 @@
 		for (int router = 0; router < 4; router++) {
 			RetryBudgets budgets = new RetryBudgets(0.2, 54, this.clock);
 			budgets.routers(OptionalInt.of(4));
+			this.clock.advance(RetryBudgets.GRANT_MS);
 			for (int i = 0; i < 100; i++) {
 				budgets.recordRequest("s");
 				retries += budgets.tryRetry("s") ? 1 : 0;
