--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/FleetLimitTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/FleetLimitTests.java
@@ -53,6 +53,16 @@
 		fleet.run(20_000);
 	}
 
+	@Test(groups = "known-red")
+	public void routersThatAreCutOffForLongerThanALostVmKeepToTheirShare() {
+		LimitedFleet fleet = fleet(4, 0);
+		fleet.move(LimitedFleet.names(1, 4), 1);
+		fleet.retry(false);
+		fleet.run(2 * FleetSize.LOST_MS);
+		fleet.retry(true);
+		fleet.run(20_000);
+	}
+
 	@Test(dataProvider = "fleets")
 	public void fleetThatGrowsBySeveralAtOnceStaysWithinTheAllowance(int routers, int requests) {
 		LimitedFleet fleet = fleet(routers, requests);
--- a/server/src/test/java/org/acaciamux/internal/transport/http/direct/BodyBudgetTests.java
+++ b/server/src/test/java/org/acaciamux/internal/transport/http/direct/BodyBudgetTests.java
@@ -123,6 +123,15 @@
 		assertFalse(this.refused.contains(0));
 	}
 
+	@Test(groups = "known-red")
+	public void smallBodyIsAcceptedWhileOthersDoNotBecomeComplete() {
+		for (int i = 0; i < MAX_BYTES / SMALL; i++) {
+			add(body(i, SMALL), SMALL - 1);
+		}
+		whole(-1, SMALL);
+		assertFalse(this.refused.contains(-1));
+	}
+
 	@Test
 	public void bodyOfUnknownLengthBecomesLarge() {
 		RequestBody first = body(1, 0);
