Refuse a body that is announced beyond the limit before it arrives

Callers that announced a body larger than the limit got 413 only after the limit had arrived, or 408 if the rest did not come; meanwhile the body took memory from those of others, and "100 Continue" asked for it. It is known at the head.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
@@ -151,8 +151,12 @@
 		if (this.closing) {
 			return;
 		}
-		this.body = new RequestBody(this.context.bodyBudget(), HttpUtil.getContentLength(request, 0L),
-				this.maxBodyBytes, this::refuseBody);
+		long announced = HttpUtil.getContentLength(request, 0L);
+		if (announced > this.maxBodyBytes) {
+			refuseTooLarge();
+			return;
+		}
+		this.body = new RequestBody(this.context.bodyBudget(), announced, this.maxBodyBytes, this::refuseBody);
 		if (HttpUtil.is100ContinueExpected(request)) {
 			this.channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
 					Unpooled.EMPTY_BUFFER));
@@ -166,8 +170,7 @@
 		ByteBuf data = content.content();
 		if (data.isReadable()) {
 			if (this.body.length() + data.readableBytes() > this.maxBodyBytes) {
-				refuseAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
-						"the body is larger than " + this.maxBodyBytes + " bytes");
+				refuseTooLarge();
 				return;
 			}
 			this.body.add(data);
@@ -180,6 +183,11 @@
 		}
 	}
 
+	private void refuseTooLarge() {
+		refuseAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
+				"the body is larger than " + this.maxBodyBytes + " bytes");
+	}
+
 	// The request has not run, because its body is not complete.
 	private void refuseBody() {
 		long ms = ThreadLocalRandom.current().nextLong(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS);
