Release the shares of listed routers that were never heard after 30 s

A router that starts counted each entry of the directory for 5 minutes, also those of VMs that were lost long ago, which the directory keeps.

silentRouterCountsUntilItsVmIsProbablyLost, new with FleetSize, had one of its two silent routers never heard and asked for 5 minutes for it as well; both are heard now, and the bound is the same. The price: a router that starts on the side of the directory during a partition divides by its own side after 30 s.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/FleetSize.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/FleetSize.java
@@ -21,14 +21,15 @@
 public final class FleetSize {
 
 	/**
-	 * Silence after which a router that leaves, or that the directory does not list, is
-	 * no longer counted, in milliseconds.
+	 * Silence after which a router that leaves, that the directory does not list or that
+	 * this process has never heard is no longer counted, in milliseconds. The directory
+	 * keeps the entries of lost VMs.
 	 */
 	static final long RELEASE_MS = 30_000;
 
 	/**
-	 * Silence after which a listed router is no longer counted, in milliseconds: it may
-	 * serve callers on the other side of a partition, but its VM may also be lost.
+	 * Silence after which any other listed router is no longer counted, in milliseconds:
+	 * it may serve callers on the other side of a partition, but its VM may also be lost.
 	 */
 	static final long LOST_MS = 300_000;
 
@@ -70,6 +71,7 @@
 		}
 		Member member = this.members.computeIfAbsent(router, (key) -> new Member());
 		member.silentNanos = 0;
+		member.heard = true;
 		member.leaving = leaving;
 	}
 
@@ -136,13 +138,16 @@
 
 		private long silentNanos;
 
+		private boolean heard;
+
 		private boolean listed;
 
 		private boolean leaving;
 
 		boolean counts() {
 			long silentMs = TimeUnit.NANOSECONDS.toMillis(this.silentNanos);
-			return silentMs < ((this.listed && !this.leaving) ? LOST_MS : RELEASE_MS);
+			boolean mayServe = this.heard && this.listed && !this.leaving;
+			return silentMs < (mayServe ? LOST_MS : RELEASE_MS);
 		}
 
 	}
--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/RetryBudgets.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/RetryBudgets.java
@@ -11,10 +11,10 @@
  * Retry budgets of the services. The ratio limits the retries of this router relative to
  * its own requests; the allowance is shared by the routers of the fleet and divided by
  * their number. Invariants: in any window, the retries of a router are at most its share
- * of the allowance plus the ratio of its requests; a router that has started is granted
- * its share over {@link #GRANT_MS}, so that all restarts within one window add at most a
- * quarter of it; retries that were used stay used when the share changes. Confined to the
- * event loop.
+ * of the allowance, but at least one that the ratio has earned, plus the ratio of its
+ * requests; a router that has started is granted its share over {@link #GRANT_MS}, so
+ * that all restarts within one window add at most a quarter of it; retries that were used
+ * stay used when the share changes. Confined to the event loop.
  */
 public final class RetryBudgets {
 
--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/FleetLimitTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/FleetLimitTests.java
@@ -168,6 +168,7 @@
 		FleetSize fleet = new FleetSize(this.clock, "a");
 		fleet.listed(List.of("a", "b", "c"));
 		fleet.heard("b", false);
+		fleet.heard("c", false);
 		advance(fleet, FleetSize.LOST_MS - 1_000, true);
 		assertEquals(fleet.divisor(), OptionalInt.of(3));
 		advance(fleet, 1_000, true);
@@ -229,6 +230,20 @@
 		assertTrue(fleet.connections(CONNECTIONS) <= CONNECTIONS, "joined by eight");
 	}
 
+	// Entries of lost VMs, which the directory keeps, took shares for minutes after each
+	// start.
+	@Test
+	public void entriesOfLostRoutersTakeNoShareForLong() {
+		FleetSize fleet = new FleetSize(this.clock, "r0");
+		fleet.listed(LimitedFleet.names(0, 104));
+		assertEquals(fleet.known(), 104);
+		for (long at = 0; at < FleetSize.RELEASE_MS; at += ExchangePolicy.PACE_MS) {
+			LimitedFleet.names(1, 4).forEach((router) -> fleet.heard(router, false));
+			advance(fleet, ExchangePolicy.PACE_MS, true);
+		}
+		assertEquals(fleet.known(), 4);
+	}
+
 	private static LimitedFleet fleet(int routers, int requests) {
 		LimitedFleet fleet = new LimitedFleet(ALLOWANCE, requests);
 		fleet.start(LimitedFleet.names(0, routers));
