--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/FleetSize.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/FleetSize.java
@@ -124,14 +124,15 @@
 	}
 
 	/**
-	 * Return this router's share of the connections that a backend server accepts.
+	 * Return this router's share of the connections that a backend server accepts. A
+	 * router that knows no other one yet may open all of them, because it serves callers
+	 * before the directory has listed the routers.
 	 * @param limit the connections that it accepts from all routers
 	 * @param minimum the connections that every router may open
-	 * @return the share; the minimum as long as no router is known
+	 * @return the share
 	 */
 	public int connections(int limit, int minimum) {
-		boolean unknown = !this.listed && this.members.isEmpty();
-		return unknown ? minimum : Math.max(minimum, limit / known());
+		return Math.max(minimum, limit / known());
 	}
 
 	private static final class Member {
--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/FleetLimitTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/FleetLimitTests.java
@@ -218,6 +218,7 @@
 	public void connectionsOfAllRoutersStayWithinTheLimitOfAServer() {
 		LimitedFleet fleet = new LimitedFleet(ALLOWANCE, 0);
 		fleet.start(LimitedFleet.names(0, 8));
+		fleet.run(ExchangePolicy.PACE_MS);
 		assertTrue(fleet.connections(CONNECTIONS) <= CONNECTIONS, "just started");
 		fleet.run(5_000);
 		assertEquals(fleet.connections(CONNECTIONS), CONNECTIONS);
@@ -230,6 +231,13 @@
 		assertTrue(fleet.connections(CONNECTIONS) <= CONNECTIONS, "joined by eight");
 	}
 
+	// A router that had just started refused requests at servers with free connections.
+	@Test
+	public void routerThatKnowsNoOtherYetMayOpenAllConnections() {
+		FleetSize fleet = new FleetSize(this.clock, "r0");
+		assertEquals(fleet.connections(CONNECTIONS, 2), CONNECTIONS);
+	}
+
 	// Entries of lost VMs, which the directory keeps, took shares for minutes after each
 	// start.
 	@Test
