--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
@@ -43,15 +43,6 @@
 	 */
 	private static final long KEEP_ALIVE_MARGIN_MS = 400;
 
-	/**
-	 * Largest number of responses that are skipped before the one to the current request:
-	 * interim ones, and late ones to earlier requests.
-	 */
-	private static final int MAX_SKIPPED_RESPONSES = 16;
-
-	/** Largest number of body bytes that are skipped before that response. */
-	private static final int MAX_SKIPPED_BYTES = 1_048_576;
-
 	private static final long NANOS_PER_MS = 1_000_000;
 
 	private final ServerChannels owner;
@@ -86,11 +77,8 @@
 
 	private boolean unrequestedReported;
 
-	private boolean skippingResponse;
-
-	private int skippedResponses;
-
-	private int skippedBytes;
+	/** Responses that came before the one to the current request. */
+	private SkippedResponses skipped = new SkippedResponses();
 
 	private HttpMethod method = HttpMethod.GET;
 
@@ -172,8 +160,7 @@
 		this.eventsExpected = events;
 		this.requestWritten = false;
 		this.responseEnd = null;
-		this.skippedResponses = 0;
-		this.skippedBytes = 0;
+		this.skipped = new SkippedResponses();
 		this.channel.writeAndFlush(request).addListener((ChannelFutureListener) (future) -> {
 			if (future.isSuccess()) {
 				this.requestWritten = true;
@@ -279,7 +266,6 @@
 			broken(unreadable.get());
 			return;
 		}
-		this.skippingResponse = false;
 		this.responseEnd = ResponseEnd.of(this.method, response, this.eventsExpected);
 		if (!HttpUtil.isKeepAlive(response) || this.responseEnd.withConnection()) {
 			this.reusable = false;
@@ -302,27 +288,15 @@
 	}
 
 	private void skipResponse(HttpResponse response, AttemptMatch match) {
-		this.skippingResponse = true;
 		this.owner.skippedResponse();
 		this.listener.skipped(response.status().code(), match);
-		Optional<String> last = ResponseEnd.lastOnConnection(response);
-		if (last.isPresent()) {
-			broken(last.get());
-			return;
-		}
-		if (++this.skippedResponses > MAX_SKIPPED_RESPONSES) {
-			broken(this.skippedResponses + " responses came before the one to the request");
-		}
+		this.skipped.head(response).ifPresent(this::broken);
 	}
 
 	private void content(HttpContent content) {
 		boolean last = content instanceof LastHttpContent;
-		if (this.skippingResponse) {
-			this.skippingResponse = !last;
-			this.skippedBytes += content.content().readableBytes();
-			if (this.skippedBytes > MAX_SKIPPED_BYTES) {
-				broken("a response that is not the one to the request does not end");
-			}
+		if (this.skipped.inProgress()) {
+			this.skipped.content(content).ifPresent(this::broken);
 			return;
 		}
 		if (this.responseEnd == null) {
