End a send at a response that may be the one to its request

What callers saw: a success where the server had answered with a failure, and a wait for the whole time limit where a server had answered at once.

Cause: ServerChannel attributed responses by exclusion. Each one without the attempt id of the request was taken for a late copy of an earlier response and skipped, also the only response of a new connection. If the server answered twice, a failure without id and then a success with it, the success was passed on.

Change: a connection knows the attempts that were sent on it (SentAttempts). Only a response to one of them can be a late copy. One with an id that was never sent there, any response without id on a connection that has carried only this request, and a failure without id may be the one to the request: the send ends as UNATTRIBUTED, the connection is closed, and nothing that follows is passed on. A request that may have run gets 502 at once, one that may run again goes to another server within the retry budget. A success without id on a reused connection is still skipped, as the response with the id may follow it. Such a server does not count as crashed. A request whose id a connection has carried before gets another connection, since a copy could not be told from its own response.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/SendResult.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/SendResult.java
@@ -15,11 +15,14 @@
 	/** The server ran the request and reported a failure of its own. */
 	SERVER_ERROR(false, true),
 
+	/** The connection broke, or the response was malformed. */
+	BROKEN(false, true),
+
 	/**
-	 * The connection broke, or the response was malformed or did not belong to this
-	 * request.
+	 * A response arrived that does not tell which request it answers and may be the one
+	 * to this request.
 	 */
-	BROKEN(false, true),
+	UNATTRIBUTED(false, true),
 
 	/** No bytes arrived in time. */
 	SILENT(false, true);
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectMetrics.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectMetrics.java
@@ -28,6 +28,8 @@
 
 	private final Counter foreignResponses;
 
+	private final Counter unattributedResponses;
+
 	private final Counter skippedResponses;
 
 	private final Counter unrequestedResponses;
@@ -61,6 +63,7 @@
 		this.requests = registry.counter(PREFIX + "requests");
 		this.connections = registry.counter(PREFIX + "server-connections");
 		this.foreignResponses = registry.counter(PREFIX + "foreign-responses");
+		this.unattributedResponses = registry.counter(PREFIX + "unattributed-responses");
 		this.skippedResponses = registry.counter(PREFIX + "skipped-responses");
 		this.unrequestedResponses = registry.counter(PREFIX + "unrequested-responses");
 		this.refusedBodies = registry.counter(PREFIX + "refused-bodies");
@@ -99,6 +102,10 @@
 		this.foreignResponses.inc();
 	}
 
+	void unattributedResponse() {
+		this.unattributedResponses.inc();
+	}
+
 	void skippedResponse() {
 		this.skippedResponses.inc();
 	}
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
@@ -24,8 +25,9 @@
 
 /**
  * One connection to a backend server, which carries one request at a time. Invariants: a
- * response reaches the listener only if it carries the attempt id of the current request;
- * its end is reported only if nothing shows that a part of it is missing; a connection on
+ * response reaches the listener only if it carries the attempt id of the current request,
+ * and none does after one without that id which may be the response to this request; its
+ * end is reported only if nothing shows that a part of it is missing; a connection on
  * which anything unexpected arrived is not used again, nor one to a former lifetime of
  * its server. Confined to the event loop.
  */
@@ -62,14 +64,11 @@
 
 	private ServerListener listener;
 
-	private String attemptId = "";
+	private final SentAttempts attempts = new SentAttempts();
 
 	/** Tells the connection apart from the others of the router in the log. */
 	private final int number;
 
-	/** Requests that were sent on the connection. */
-	private int uses;
-
 	private boolean reusable = true;
 
 	/** Whether the rest of a response is not read. */
@@ -119,7 +118,7 @@
 	 * @return its number and how many requests were sent on it so far
 	 */
 	String describe() {
-		return this.number + "/" + this.uses;
+		return this.number + "/" + this.attempts.count();
 	}
 
 	/**
@@ -135,6 +134,15 @@
 				&& this.owner.lifetime(this.serverId).map(this.lifetime::equals).orElse(true);
 	}
 
+	/**
+	 * Return whether a request with an attempt id was sent on the connection.
+	 * @param attempt the attempt id
+	 * @return whether one was
+	 */
+	boolean carried(String attempt) {
+		return this.attempts.contains(attempt);
+	}
+
 	/**
 	 * Return whether an earlier request has used the connection. The server may close a
 	 * reused connection at any time.
@@ -153,9 +161,8 @@
 	 */
 	void send(FullHttpRequest request, String attempt, boolean events, ServerListener receiver) {
 		this.listener = receiver;
-		this.uses++;
 		this.lifetime = this.owner.lifetime(this.serverId).orElse(this.lifetime);
-		this.attemptId = attempt;
+		this.attempts.sent(attempt);
 		this.method = request.method();
 		this.eventsExpected = events;
 		this.requestWritten = false;
@@ -198,7 +205,7 @@
 	}
 
 	private AttemptMatch match(HttpResponse response) {
-		return AttemptMatch.of(this.format.reply(response).attemptId(), this.attemptId);
+		return this.attempts.match(this.format.reply(response).attemptId());
 	}
 
 	@Override
@@ -249,16 +256,13 @@
 		if (reply.leaving() && !response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
 			announced();
 		}
-		AttemptMatch match = AttemptMatch.of(reply.attemptId(), this.attemptId);
+		AttemptMatch match = this.attempts.match(reply.attemptId());
 		if (response.status().code() < 200) {
 			skipResponse(response, match);
 			return;
 		}
 		if (match != AttemptMatch.SAME) {
-			// A late response to an earlier request. The response to this one may follow.
-			this.reusable = false;
-			this.owner.foreignResponse(this.serverId);
-			skipResponse(response, match);
+			foreign(response, match);
 			return;
 		}
 		Optional<String> unreadable = ResponseEnd.unreadable(response);
@@ -278,6 +282,21 @@
 		this.listener.head(response, reply);
 	}
 
+	private void foreign(HttpResponse response, AttemptMatch match) {
+		this.reusable = false;
+		this.owner.foreignResponse();
+		int status = response.status().code();
+		if (this.attempts.mayAnswerLast(match, !HttpStatusClass.SUCCESS.contains(status))) {
+			this.owner.unattributedResponse();
+			this.listener.skipped(status, match);
+			broken(SendResult.UNATTRIBUTED, "a response " + status + " that may be the one to the request has "
+					+ ((match == AttemptMatch.MISSING) ? "no attempt id" : "an attempt id that was not sent"));
+			return;
+		}
+		// The response to the current request may follow.
+		skipResponse(response, match);
+	}
+
 	// If the directory has listed a restart since the request was sent, the connection
 	// may have been opened after it, so neither of the lifetimes gets new requests.
 	private void announced() {
@@ -343,13 +362,17 @@
 	}
 
 	private void broken(String reason) {
+		broken(SendResult.BROKEN, reason);
+	}
+
+	private void broken(SendResult result, String reason) {
 		ServerListener receiver = this.listener;
 		this.listener = null;
 		this.reusable = false;
 		this.abandoned = true;
 		this.channel.close();
 		if (receiver != null) {
-			receiver.broken(SendResult.BROKEN, reason);
+			receiver.broken(result, reason);
 		}
 	}
 
@@ -370,7 +393,8 @@
 	interface ServerListener {
 
 		/**
-		 * A response arrived that is not the one to the request; it is skipped.
+		 * A response arrived that does not bear the attempt id of the request, or an
+		 * interim one; it is not passed on.
 		 * @param status its status
 		 * @param match how its attempt id relates to the request
 		 */
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannels.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannels.java
@@ -77,12 +77,14 @@
 	/**
 	 * Get a connection for a new request, opening one if none is idle.
 	 * @param server the server
+	 * @param attemptId the attempt id of the request
 	 * @param maxConnections connections that the server accepts from all routers
 	 * @param action receives the connection, or the reason why there is none
 	 */
-	void acquire(ServerState server, int maxConnections, Consumer<Either<Unavailable, ServerChannel>> action) {
+	void acquire(ServerState server, String attemptId, int maxConnections,
+			Consumer<Either<Unavailable, ServerChannel>> action) {
 		Pool pool = this.pools.computeIfAbsent(server.entry().id(), (key) -> new Pool());
-		ServerChannel idle = pool.poll(now());
+		ServerChannel idle = pool.poll(attemptId, now());
 		if (idle != null) {
 			action.accept(Either.right(idle));
 			return;
@@ -227,10 +229,14 @@
 		}
 	}
 
-	void foreignResponse(String serverId) {
+	void foreignResponse() {
 		this.metrics.foreignResponse();
 	}
 
+	void unattributedResponse() {
+		this.metrics.unattributedResponse();
+	}
+
 	void skippedResponse() {
 		this.metrics.skippedResponse();
 	}
@@ -272,9 +278,9 @@
 		/** Connections that the server accepts from all routers. */
 		private int maxConnections;
 
-		ServerChannel poll(long now) {
+		ServerChannel poll(String attemptId, long now) {
 			ServerChannel channel = this.idle.pollFirst();
-			while (channel != null && !channel.usable(now)) {
+			while (channel != null && (!channel.usable(now) || channel.carried(attemptId))) {
 				channel.close();
 				channel = this.idle.pollFirst();
 			}
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerSend.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerSend.java
@@ -124,7 +124,8 @@
 	 */
 	void connect(Consumer<Either<ServerChannels.Unavailable, ServerChannel>> action) {
 		ServerChannels channels = this.context.channels();
-		channels.acquire(this.server, this.context.maxConnections(this.admitted.service()), (result) -> {
+		int limit = this.context.maxConnections(this.admitted.service());
+		channels.acquire(this.server, this.admitted.request().attemptId(), limit, (result) -> {
 			if (this.ended) {
 				result.forEach(channels::release);
 				return;
--- /dev/null
+++ b/server/src/test/java/org/acaciamux/internal/transport/http/direct/SentAttemptsTests.java
@@ -0,0 +1,85 @@
+package org.acaciamux.internal.transport.http.direct;
+
+import java.util.Optional;
+
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * Guards against responses that are taken for late ones to an earlier request although no
+ * request was sent to which they could belong.
+ */
+public class SentAttemptsTests {
+
+	private final SentAttempts attempts = new SentAttempts();
+
+	private SentAttempts with(int count) {
+		SentAttempts sent = new SentAttempts();
+		for (int i = 0; i < count; i++) {
+			sent.sent("t" + i);
+		}
+		return sent;
+	}
+
+	private static AttemptMatch match(SentAttempts sent, String id) {
+		return sent.match(Optional.of(id));
+	}
+
+	@Test
+	public void aResponseWithTheLastIdAnswersTheLastRequest() {
+		assertEquals(match(with(3), "t2"), AttemptMatch.SAME);
+	}
+
+	@Test
+	public void aResponseWithAnEarlierIdIsLate() {
+		SentAttempts sent = with(SentAttempts.MAX_REMEMBERED + 1);
+		for (int i = 0; i < SentAttempts.MAX_REMEMBERED; i++) {
+			assertEquals(match(sent, "t" + i), AttemptMatch.EARLIER);
+		}
+	}
+
+	@Test
+	public void aResponseWithAnIdThatWasNotSentIsNotLate() {
+		for (int count : new int[] { 1, 2, 5, SentAttempts.MAX_REMEMBERED + 1 }) {
+			assertEquals(match(with(count), "other"), AttemptMatch.OTHER);
+		}
+	}
+
+	@Test
+	public void anUnknownIdMayBeAForgottenOne() {
+		SentAttempts sent = with(SentAttempts.MAX_REMEMBERED + 2);
+		assertEquals(match(sent, "t0"), AttemptMatch.EARLIER);
+		assertEquals(match(sent, "t" + SentAttempts.MAX_REMEMBERED), AttemptMatch.EARLIER);
+	}
+
+	@Test
+	public void aFailureWithoutIdMayAnswerTheLastRequest() {
+		assertEquals(this.attempts.match(Optional.empty()), AttemptMatch.MISSING);
+		assertTrue(with(1).mayAnswerLast(AttemptMatch.MISSING, true));
+		assertTrue(with(9).mayAnswerLast(AttemptMatch.MISSING, true));
+	}
+
+	@Test
+	public void aSuccessWithoutIdMayBeLateOnlyBehindAnEarlierResponse() {
+		assertTrue(with(1).mayAnswerLast(AttemptMatch.MISSING, false));
+		assertFalse(with(2).mayAnswerLast(AttemptMatch.MISSING, false));
+	}
+
+	@Test
+	public void aLateResponseNeverAnswersTheLastRequest() {
+		assertFalse(with(2).mayAnswerLast(AttemptMatch.EARLIER, true));
+		assertTrue(with(2).mayAnswerLast(AttemptMatch.OTHER, false));
+	}
+
+	@Test
+	public void sentIdsAreKnown() {
+		assertFalse(this.attempts.contains(""));
+		assertTrue(with(2).contains("t0"));
+		assertTrue(with(2).contains("t1"));
+		assertFalse(with(2).contains("t2"));
+	}
+
+}
--- a/server/src/test/java/org/acaciamux/internal/transport/http/direct/ServerChannelsTests.java
+++ b/server/src/test/java/org/acaciamux/internal/transport/http/direct/ServerChannelsTests.java
@@ -83,7 +83,7 @@
 		CompletableFuture<Either<ServerChannels.Unavailable, ServerChannel>> result = new CompletableFuture<>();
 		this.loop.submit(() -> {
 			ServerState server = this.servers.find("i-1").orElseThrow();
-			this.channels.acquire(server, MAX_CONNECTIONS, result::complete);
+			this.channels.acquire(server, "t1", MAX_CONNECTIONS, result::complete);
 			assertFalse(result.isDone());
 			event.run();
 		}).get(20, TimeUnit.SECONDS);
