Fail a send at once behind a skipped response that closes the connection

Change: ResponseEnd.lastOnConnection also names responses after which the server closes the connection; interim ones are excepted.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/ResponseEnd.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/ResponseEnd.java
@@ -9,6 +9,8 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 
 /**
  * Checks, at the end of a response, whether its body is whole: the decoder reports an end
@@ -70,6 +72,10 @@
 		if (head.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
 			return Optional.of("the server switched protocols");
 		}
+		boolean interim = HttpStatusClass.INFORMATIONAL.contains(head.status().code());
+		if (!interim && !HttpUtil.isKeepAlive(head)) {
+			return Optional.of("the server closes the connection after a response to another request");
+		}
 		return (BodyFraming.of(HttpMethod.GET, head) == BodyFraming.CONNECTION)
 				? Optional.of("a response to another request ends only with the connection") : unreadable(head);
 	}
