End a send at a response with an unknown attempt id on an old connection

What callers saw: a success where the server had answered with a failure, on a connection with more than 257 requests: there each response with an unknown attempt id was skipped.

Cause: SentAttempts took an id for an earlier one as soon as it had forgotten any, so that its bound on memory turned attribution by exclusion on again.

Change: an id counts as earlier only if it is remembered. A copy that is more than 256 requests late fails the request that waits, and its connection is closed.

Tests changed: SentAttemptsTests#anUnknownIdMayBeAForgottenOne asserted the fault; anIdThatIsNotRememberedIsNotLate asserts the opposite for unknown and forgotten ids, and EARLIER for all 256 that are remembered.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/AttemptMatch.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/AttemptMatch.java
@@ -14,7 +14,7 @@
 	/** A request that was sent before it. */
 	EARLIER,
 
-	/** None that was sent on the connection. */
+	/** None that is known to have been sent on the connection. */
 	OTHER,
 
 	/** The response does not tell. */
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/SentAttempts.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/SentAttempts.java
@@ -8,9 +8,9 @@
 
 /**
  * The attempts that were sent on one connection to a backend server, which tell whose its
- * responses are. Invariant: a response counts as one to an earlier request only if it may
- * be; {@link #MAX_REMEMBERED} bounds the memory, and on a connection with more requests
- * an unknown attempt may be one of those that were forgotten. Confined to the event loop.
+ * responses are. Invariant: a response counts as one to an earlier request only if it is
+ * known to be; {@link #MAX_REMEMBERED} bounds the memory, and a copy that is later than
+ * that counts as unknown. Confined to the event loop.
  */
 final class SentAttempts {
 
@@ -81,8 +81,7 @@
 		if (attemptId.get().equals(this.last)) {
 			return AttemptMatch.SAME;
 		}
-		boolean forgotten = this.count - 1 > MAX_REMEMBERED;
-		return (forgotten || this.count > 0 && remembers(attemptId.get())) ? AttemptMatch.EARLIER : AttemptMatch.OTHER;
+		return (this.count > 0 && remembers(attemptId.get())) ? AttemptMatch.EARLIER : AttemptMatch.OTHER;
 	}
 
 	/**
--- a/server/src/test/java/org/acaciamux/internal/transport/http/direct/SentAttemptsTests.java
+++ b/server/src/test/java/org/acaciamux/internal/transport/http/direct/SentAttemptsTests.java
@@ -49,10 +49,13 @@
 	}
 
 	@Test
-	public void anUnknownIdMayBeAForgottenOne() {
+	public void anIdThatIsNotRememberedIsNotLate() {
 		SentAttempts sent = with(SentAttempts.MAX_REMEMBERED + 2);
-		assertEquals(match(sent, "t0"), AttemptMatch.EARLIER);
-		assertEquals(match(sent, "t" + SentAttempts.MAX_REMEMBERED), AttemptMatch.EARLIER);
+		assertEquals(match(sent, "other"), AttemptMatch.OTHER);
+		assertEquals(match(sent, "t0"), AttemptMatch.OTHER);
+		for (int i = 1; i <= SentAttempts.MAX_REMEMBERED; i++) {
+			assertEquals(match(sent, "t" + i), AttemptMatch.EARLIER);
+		}
 	}
 
 	@Test
