Do not attribute a response with two different attempt ids

What callers saw: the body of a response with their attempt id and that of another request, as a success.

Cause: PlatformFormat.reply took the first of several attempt ids. Which request such a response answers is not known.

Change: ServerReply has the set of attempt ids. Several different ones count as an id that was never sent, equal ones as one.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/SentAttempts.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/SentAttempts.java
@@ -1,7 +1,7 @@
 package org.acaciamux.internal.transport.http.direct;
 
 import java.util.Arrays;
-import java.util.Optional;
+import java.util.Set;
 import java.util.stream.LongStream;
 
 import org.acaciamux.internal.state.StableHash;
@@ -71,17 +71,22 @@
 
 	/**
 	 * Find the request that a response answers.
-	 * @param attemptId the attempt id of the response
+	 * @param attemptIds the attempt ids of the response; several different ones name no
+	 * request
 	 * @return which request it is
 	 */
-	AttemptMatch match(Optional<String> attemptId) {
-		if (attemptId.isEmpty()) {
+	AttemptMatch match(Set<String> attemptIds) {
+		if (attemptIds.isEmpty()) {
 			return AttemptMatch.MISSING;
 		}
-		if (attemptId.get().equals(this.last)) {
+		if (attemptIds.size() > 1) {
+			return AttemptMatch.OTHER;
+		}
+		if (attemptIds.contains(this.last)) {
 			return AttemptMatch.SAME;
 		}
-		return (this.count > 0 && remembers(attemptId.get())) ? AttemptMatch.EARLIER : AttemptMatch.OTHER;
+		boolean earlier = this.count > 0 && attemptIds.stream().allMatch(this::remembers);
+		return earlier ? AttemptMatch.EARLIER : AttemptMatch.OTHER;
 	}
 
 	/**
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
@@ -205,7 +205,7 @@
 	}
 
 	private AttemptMatch match(HttpResponse response) {
-		return this.attempts.match(this.format.reply(response).attemptId());
+		return this.attempts.match(this.format.reply(response).attemptIds());
 	}
 
 	@Override
@@ -256,7 +256,7 @@
 		if (reply.leaving() && !response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
 			announced();
 		}
-		AttemptMatch match = this.attempts.match(reply.attemptId());
+		AttemptMatch match = this.attempts.match(reply.attemptIds());
 		if (response.status().code() < 200) {
 			skipResponse(response, match);
 			return;
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/WireFormat.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/WireFormat.java
@@ -1,6 +1,7 @@
 package org.acaciamux.internal.transport.http.direct;
 
 import java.util.Optional;
+import java.util.Set;
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
@@ -58,7 +59,8 @@
 	/**
 	 * What a backend server states in the headers of a response.
 	 *
-	 * @param attemptId the caller's attempt that it answers
+	 * @param attemptIds the caller's attempt that it answers; none or several different
+	 * ones if it does not tell
 	 * @param sealed whether the server has signed the response
 	 * @param notRun whether the server states that it did not run the request
 	 * @param encoded whether the body has a content coding and therefore is not the body
@@ -66,7 +68,7 @@
 	 * @param load the load that the server reports
 	 * @param leaving whether the server announces that it leaves
 	 */
-	record ServerReply(Optional<String> attemptId, boolean sealed, boolean notRun, boolean encoded,
+	record ServerReply(Set<String> attemptIds, boolean sealed, boolean notRun, boolean encoded,
 			Optional<ReportedLoad> load, boolean leaving) {
 	}
 
--- a/server/src/test/java/org/acaciamux/internal/transport/http/direct/SentAttemptsTests.java
+++ b/server/src/test/java/org/acaciamux/internal/transport/http/direct/SentAttemptsTests.java
@@ -1,6 +1,6 @@
 package org.acaciamux.internal.transport.http.direct;
 
-import java.util.Optional;
+import java.util.Set;
 
 import org.testng.annotations.Test;
 
@@ -25,7 +25,7 @@
 	}
 
 	private static AttemptMatch match(SentAttempts sent, String id) {
-		return sent.match(Optional.of(id));
+		return sent.match(Set.of(id));
 	}
 
 	@Test
@@ -58,9 +58,15 @@
 		}
 	}
 
+	@Test
+	public void aResponseWithSeveralIdsIsNotLate() {
+		assertEquals(with(3).match(Set.of("t1", "t2")), AttemptMatch.OTHER);
+		assertEquals(with(3).match(Set.of("t0", "t1")), AttemptMatch.OTHER);
+	}
+
 	@Test
 	public void aFailureWithoutIdMayAnswerTheLastRequest() {
-		assertEquals(this.attempts.match(Optional.empty()), AttemptMatch.MISSING);
+		assertEquals(this.attempts.match(Set.of()), AttemptMatch.MISSING);
 		assertTrue(with(1).mayAnswerLast(AttemptMatch.MISSING, true));
 		assertTrue(with(9).mayAnswerLast(AttemptMatch.MISSING, true));
 	}
