Do not reuse a connection on which a server failed

What callers saw: 502 for a request whose server answered it with a success. It came on the connection of a failure that had been passed on, and a late copy of that failure without an attempt id was read before its response.

Cause: a failure that is passed on (of a request that may not run twice) left its connection in the pool. A failure without an id on a reused connection may belong to the waiting request, so it has to end it. For requests that may run again the connection was already closed.

Evidence: ConnectionAfterFailureTests#aLateCopyOfAFailureDoesNotFailTheNextRequest failed before for 500, 502 and 504 (502 instead of the own 200).

Change: a connection is closed after a response of 500 or more. Cost: one connection for each such response that is passed on; with every second response a failure, 4 connections instead of 1 for 8 requests. A response below 500 costs none.

Result: ConnectionAfterFailureTests, FailureBeforeSuccessTests, SecondResponseTests, SecondResponseWithoutLengthTests, FailedResponseTests, RouterResponseTests and ServerChannelsTests pass.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 
+import org.acaciamux.internal.coordination.direct.ResponsePolicy;
 import org.acaciamux.internal.coordination.direct.SendResult;
 import org.acaciamux.internal.coordination.direct.ServerEntry;
 import org.acaciamux.internal.transport.http.ResponseEnd;
@@ -275,6 +276,10 @@
 			this.reusable = false;
 		}
 		KeepAlive.limitMs(response).ifPresent((ms) -> this.keepAliveMs = ms - KEEP_ALIVE_MARGIN_MS);
+		if (ResponsePolicy.failure(response.status().code())) {
+			// A late copy without an attempt id would end the next request.
+			this.reusable = false;
+		}
 		if (this.method.equals(HttpMethod.HEAD)) {
 			// A later copy of this response could not be told from one with a body.
 			this.reusable = false;
