Keep two sides of a long partition within the retry allowance

What callers saw: a service gets more retries than the fleet may make, if routers are cut off from each other for more than 300 s.

Cause: after that silence a listed router counts as lost and its share passes to the others, but it may serve callers on the other side and use it too. Nobody removes the entries of lost VMs, so no evidence tells the two apart, and each side that has the directory divides the allowance by its own routers.

The test adds the heal of the partition as well.

Change: half of the allowance is divided, so two sides that each use all of it keep to it. Raising the time only moves the fault. A share that lapses without the directory costs the routers on that side their retries, and the tests of FleetSize ask them to keep it.

The group known-red is removed from the test, which is otherwise unchanged.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/FleetSize.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/FleetSize.java
@@ -14,9 +14,10 @@
  * Number of routers among which a limit of the fleet is divided. Invariants: the number
  * rises with the first message or listing of a router; it falls only after a router was
  * silent for {@link #RELEASE_MS}, so that no other router has its share before the
- * retries that it used have left the window of the limit. Silence counts only while this
- * router runs and its directory answers: a router that is cut off keeps its share as it
- * was. Confined to the event loop.
+ * retries that it used have left the window of the limit. After {@link #LOST_MS}, each
+ * side of a partition that has the directory divides the limit by its own routers.
+ * Silence counts only while this router runs and its directory answers: a router that is
+ * cut off keeps its share as it was. Confined to the event loop.
  */
 public final class FleetSize {
 
@@ -29,7 +30,8 @@
 
 	/**
 	 * Silence after which any other listed router is no longer counted, in milliseconds:
-	 * it may serve callers on the other side of a partition, but its VM may also be lost.
+	 * it may serve callers on the other side of a partition, but its VM may also be lost,
+	 * and nobody removes its entry. {@link RetryBudgets} leaves room for two sides.
 	 */
 	static final long LOST_MS = 300_000;
 
--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/RetryBudgets.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/RetryBudgets.java
@@ -38,10 +38,12 @@
 	static final long FIRST_HEAD_START_MS = GRANT_MS / 4;
 
 	/**
-	 * Share of the allowance that is divided. The rest covers what routers are granted
-	 * that start while the retries of those before them are still in the window.
+	 * Share of the allowance that is divided: half, because silence does not tell a lost
+	 * router from one on the other side of a partition, so that two sides may each use
+	 * all of it. Without a partition, the rest covers what routers are granted that start
+	 * while the retries of those before them are still in the window.
 	 */
-	private static final double DIVIDED_SHARE = 0.55;
+	private static final double DIVIDED_SHARE = 0.5;
 
 	/** Share of the ratio that is used. */
 	private static final double USED_RATIO = 0.7;
--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/FleetLimitTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/FleetLimitTests.java
@@ -53,7 +53,7 @@
 		fleet.run(20_000);
 	}
 
-	@Test(groups = "known-red")
+	@Test
 	public void routersThatAreCutOffForLongerThanALostVmKeepToTheirShare() {
 		LimitedFleet fleet = fleet(4, 0);
 		fleet.move(LimitedFleet.names(1, 4), 1);
@@ -63,6 +63,30 @@
 		fleet.run(20_000);
 	}
 
+	@DataProvider
+	public Object[][] partitions() {
+		return new Object[][] { { 4, 3 }, { 12, 6 }, { 12, 11 }, { 29, 28 }, { 30, 15 } };
+	}
+
+	// After the silence of a lost VM, each side divides by its own routers if it has the
+	// directory.
+	@Test(dataProvider = "partitions")
+	public void sidesOfALongPartitionStayWithinTheAllowance(int routers, int cutOff) {
+		for (boolean everywhere : new boolean[] { false, true }) {
+			for (int requests : new int[] { 0, 2 }) {
+				LimitedFleet fleet = fleet(routers, requests);
+				fleet.directoryOnAllSides(everywhere);
+				fleet.move(LimitedFleet.names(routers - cutOff, routers), 1);
+				fleet.retry(false);
+				fleet.run(FleetSize.LOST_MS + 60_000);
+				fleet.retry(true);
+				fleet.run(20_000);
+				fleet.move(LimitedFleet.names(0, routers), 0);
+				fleet.run(20_000);
+			}
+		}
+	}
+
 	@Test(dataProvider = "fleets")
 	public void fleetThatGrowsBySeveralAtOnceStaysWithinTheAllowance(int routers, int requests) {
 		LimitedFleet fleet = fleet(routers, requests);
--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/LimitedFleet.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/LimitedFleet.java
@@ -36,6 +36,8 @@
 
 	private boolean retrying = true;
 
+	private boolean directoryOnAllSides;
+
 	/**
 	 * Create an empty fleet.
 	 * @param allowance retries of the fleet beyond the ratio in one window
@@ -74,7 +76,8 @@
 	}
 
 	/**
-	 * Put routers on another side of a partition. The directory is on side 0.
+	 * Put routers on another side of a partition. The directory is on side 0, unless
+	 * {@link #directoryOnAllSides} says otherwise.
 	 * @param names the routers
 	 * @param side the side
 	 */
@@ -82,6 +85,14 @@
 		names.forEach((name) -> Optional.ofNullable(this.running.get(name)).ifPresent((router) -> router.side = side));
 	}
 
+	/**
+	 * Set whether a partition separates routers only from each other.
+	 * @param everywhere whether the directory answers the routers on each side
+	 */
+	void directoryOnAllSides(boolean everywhere) {
+		this.directoryOnAllSides = everywhere;
+	}
+
 	/**
 	 * Set whether the routers retry.
 	 * @param retrying whether they use all retries that they have, or none
@@ -106,7 +117,7 @@
 	}
 
 	private void exchange(Router router) {
-		boolean answers = router.side == 0;
+		boolean answers = router.side == 0 || this.directoryOnAllSides;
 		if (answers && this.clock.nanoTime() >= router.listAt) {
 			if (this.directory.add(router.name) && !router.registered) {
 				router.budgets.joined();
