Reuse a connection to a backend server only if it names its requests

What callers saw: the answer to another request. A backend server behind an agent that answers a repeatable request twice sends the second response while the connection carries the next request, and the agent passed it on as the response to that one.

Cause: BackendExchange attributed a response by its order on the connection. The agent sends Acaciamux-Request-Id, but read it in no response. IdleGuard closes a connection on which a decoded message arrives between two requests, but not one on which a part of a head, or a message after the next request was written, arrives.

Change: CarriedRequests records which ids a connection has carried. A final response that names another request, or none on a connection that has carried others, ends the exchange as BROKEN_OFF. On a connection with a single request a response without id is passed on, as there is no other request that it could answer. The events RESPONSE_UNATTRIBUTED and UNREQUESTED_RESPONSE tell both ends.

Cost for servers that name no requests: one connection to loopback for each request.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/BackendConnections.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/BackendConnections.java
@@ -20,13 +20,15 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.util.ReferenceCountUtil;
 
+import org.acaciamux.internal.coordination.admission.Backend;
+import org.acaciamux.internal.event.EventLog;
 import org.acaciamux.internal.state.LockRank;
 import org.acaciamux.internal.state.RankedLock;
 
 /**
  * Pool of connections to the backend server. Invariants: a connection carries at most one
- * request at a time, and one that has been idle for longer than the limit is closed.
- * Thread-safe.
+ * request at a time, and no two requests with the same id; one that has been idle for
+ * longer than the limit is closed. Thread-safe.
  */
 final class BackendConnections {
 
@@ -63,27 +65,29 @@
 	}
 
 	/**
-	 * Obtain a connection.
-	 * @param fresh whether to open a new connection instead of reusing an idle one
+	 * Obtain a connection for a request; one that may not be repeated gets a new
+	 * connection.
+	 * @param request the request
 	 * @param result receives the connection, or the cause if none could be opened, on the
 	 * connection's event loop
 	 */
-	void acquire(boolean fresh, BiConsumer<Channel, Throwable> result) {
-		Optional<Channel> pooled = fresh ? Optional.empty() : pollIdle();
+	void acquire(Backend.BackendRequest request, BiConsumer<Channel, Throwable> result) {
+		Optional<Channel> pooled = request.repeatable() ? pollIdle() : Optional.empty();
 		if (pooled.isPresent()) {
 			Channel channel = pooled.get();
-			channel.eventLoop().execute(() -> useOrConnect(channel, result));
+			channel.eventLoop().execute(() -> useOrConnect(channel, request.requestId(), result));
 			return;
 		}
 		connect(result);
 	}
 
-	private void useOrConnect(Channel channel, BiConsumer<Channel, Throwable> result) {
-		if (channel.isActive()) {
+	private void useOrConnect(Channel channel, String requestId, BiConsumer<Channel, Throwable> result) {
+		if (channel.isActive() && CarriedRequests.of(channel).accepts(requestId)) {
 			channel.pipeline().remove(IdleGuard.class);
 			result.accept(channel, null);
 			return;
 		}
+		channel.close();
 		connect(result);
 	}
 
@@ -150,6 +154,9 @@
 		@Override
 		public void channelRead(ChannelHandlerContext context, Object message) {
 			ReferenceCountUtil.release(message);
+			if (context.channel().isActive()) {
+				EventLog.log(BackendEvent.UNREQUESTED_RESPONSE, CarriedRequests.of(context.channel()).last());
+			}
 			context.close();
 		}
 
--- a/server/src/main/java/org/acaciamux/internal/transport/http/BackendExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/BackendExchange.java
@@ -28,14 +28,17 @@
 import io.netty.handler.codec.http.LastHttpContent;
 
 import org.acaciamux.internal.coordination.admission.Backend;
+import org.acaciamux.internal.event.EventLog;
 import org.acaciamux.internal.protocol.Headers;
 import org.acaciamux.internal.protocol.wire.Header;
 
 /**
  * One request on one connection to the backend server. Invariants: the listener gets
  * exactly one call of {@code end} or {@code failed}, as its last call; all callbacks run
- * on the connection's event loop. {@link #pause}, {@link #resume} and {@link #cancel} may
- * be called from any thread.
+ * on the connection's event loop; a response that may be the one to another request is
+ * not passed on, and a connection is used again only if the server named the request in
+ * the response. {@link #pause}, {@link #resume} and {@link #cancel} may be called from
+ * any thread.
  */
 final class BackendExchange implements Backend.Call {
 
@@ -81,7 +84,7 @@
 	}
 
 	void start() {
-		this.connections.acquire(!this.request.repeatable(), this::connected);
+		this.connections.acquire(this.request, this::connected);
 	}
 
 	private void connected(Channel connection, Throwable cause) {
@@ -98,6 +101,7 @@
 		}
 		connection.pipeline().addLast(HANDLER_NAME, new Handler());
 		connection.config().setAutoRead(!this.paused);
+		CarriedRequests.of(connection).send(this.request.requestId());
 		connection.writeAndFlush(encode());
 	}
 
@@ -183,7 +187,7 @@
 	 */
 	private final class Handler extends SimpleChannelInboundHandler<HttpObject> {
 
-		private boolean keepAlive;
+		private boolean reusable;
 
 		private boolean interim;
 
@@ -199,12 +203,12 @@
 				return;
 			}
 			if (message instanceof HttpResponse response) {
-				Optional<String> unreadable = ResponseEnd.unreadable(response);
-				if (unreadable.isPresent()) {
-					breakOff(context, "The response cannot be read: " + unreadable.get());
+				Optional<String> unusable = unusable(context, response);
+				if (unusable.isPresent()) {
+					breakOff(context, unusable.get());
 					return;
 				}
-				head(response);
+				head(context, response);
 			}
 			if (message instanceof HttpContent content && !this.interim) {
 				content(content);
@@ -214,12 +218,34 @@
 			}
 		}
 
-		private void head(HttpResponse response) {
-			this.interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+		private Optional<String> unusable(ChannelHandlerContext context, HttpResponse response) {
+			Optional<String> unreadable = ResponseEnd.unreadable(response);
+			if (unreadable.isPresent()) {
+				return Optional.of("The response cannot be read: " + unreadable.get());
+			}
+			if (isInterim(response)) {
+				return Optional.empty();
+			}
+			Optional<String> unattributed = CarriedRequests.of(context.channel()).unattributed(response);
+			unattributed.ifPresent((reason) -> EventLog.log(BackendEvent.RESPONSE_UNATTRIBUTED,
+					response.status().code(), BackendExchange.this.request.requestId(), reason));
+			return unattributed.map((reason) -> "A response cannot be attributed to the request: " + reason);
+		}
+
+		private static boolean isInterim(HttpResponse response) {
+			return response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+		}
+
+		private void head(ChannelHandlerContext context, HttpResponse response) {
+			this.interim = isInterim(response);
 			if (!this.interim) {
 				this.responseEnd = ResponseEnd.of(HttpMethod.valueOf(BackendExchange.this.request.method()), response,
 						false);
-				this.keepAlive = HttpUtil.isKeepAlive(response);
+				// Without ids, a second response to this request could not be told from
+				// the
+				// response to the next one.
+				this.reusable = HttpUtil.isKeepAlive(response)
+						&& CarriedRequests.of(context.channel()).namesLast(response);
 				BackendExchange.this.listener.head(response.status().code(), headersOf(response));
 				if (this.responseEnd.withConnection()) {
 					BackendExchange.this.listener.endsWithConnection();
@@ -245,7 +271,7 @@
 			}
 			BackendExchange.this.ended = true;
 			context.pipeline().remove(this);
-			if (this.keepAlive && !BackendExchange.this.cancelled) {
+			if (this.reusable && !BackendExchange.this.cancelled) {
 				BackendExchange.this.connections.release(context.channel());
 			}
 			else {
