Wait for the final response behind an interim one of the platform

What would have been seen: a call to the platform's store that fails with status 100 or 103, and the final response, which arrives then, taken for the response to the next call on the connection. No case is known.

Cause: HttpObjectAggregator reports an interim response like a final one, and PlatformHttpClient ended the call with it.

Evidence: PlatformResponseTests#anInterimResponseIsNotTakenForTheResponse on the code before: "expected [/1] but found [status 103]". The other test of the class, a response after the time limit of its call, passed before: the client closes the connection at the time limit.

Change: InterimResponseFilter drops interim responses in front of the aggregator.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/PlatformHttpClient.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/PlatformHttpClient.java
@@ -97,7 +97,7 @@
 				@Override
 				protected void initChannel(Channel channel) {
 					channel.pipeline()
-						.addLast(new ReadProgress(), new HttpClientCodec(),
+						.addLast(new ReadProgress(), new HttpClientCodec(), new InterimResponseFilter(),
 								new HttpObjectAggregator(MAX_RESPONSE_BYTES), new Exchange());
 				}
 			});
