Give each order to a backend server a connection of its own

What operators would have seen: an order to load a version that counts as carried out although the server refused it. A server that answers the fetch of its state twice sends the second response while the connection carries an order, and its 200 was taken for the response to the order. No case is known.

Cause: as for requests, PlatformHttpClient attributes a response by its order on a reused connection, and the servers that may answer twice are the ones that get orders.

Evidence: HttpBackendOrdersTests on the code before: "expected [STALE] but found [DONE]".

Change: PlatformHttpClient.withoutReuse opens a connection for each call; HttpBackendOrders creates its client that way, so that no caller can pass it another one. The client of the platform's store reuses its connections as before.

Result: the test passes, with OrderControllerRandomTests, HttpObjectStoreTests and PlatformHttpClientTests. The cost, a connection to loopback for each fetch of the state and each order, is not measured.

--- a/server/src/main/java/org/acaciamux/internal/coordination/order/HttpBackendOrders.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/order/HttpBackendOrders.java
@@ -1,6 +1,7 @@
 package org.acaciamux.internal.coordination.order;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -12,20 +13,27 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.HttpMethod;
 
 import org.acaciamux.internal.transport.http.PlatformHttpClient;
 import org.acaciamux.internal.transport.http.PlatformHttpClient.Reply;
 
 /**
- * Sends orders to a model engine over HTTP. Thread-safe.
+ * Sends orders to a model engine over HTTP. Invariant: each call has a connection of its
+ * own, so that no second response to another call is taken for the response to an order.
+ * Thread-safe.
  */
-public final class HttpBackendOrders implements BackendOrders {
+public final class HttpBackendOrders implements BackendOrders, AutoCloseable {
 
 	private static final ObjectMapper mapper = new ObjectMapper();
 
 	private static final long DESCRIBE_TIMEOUT_MS = 2_000;
 
+	private static final int CONNECT_TIMEOUT_MS = 1_000;
+
+	private static final int MAX_CONNECTIONS = 2;
+
 	private static final byte[] NO_BODY = {};
 
 	private final PlatformHttpClient client;
@@ -34,11 +42,12 @@
 
 	/**
 	 * Create a client for the orders of one backend server.
-	 * @param client an HTTP client for the address of the backend server
+	 * @param group the event loops; the caller shuts them down after this client
+	 * @param address the address of the backend server
 	 * @param loadMs longest duration of a load in milliseconds, the timeout of an order
 	 */
-	public HttpBackendOrders(PlatformHttpClient client, long loadMs) {
-		this.client = client;
+	public HttpBackendOrders(EventLoopGroup group, InetSocketAddress address, long loadMs) {
+		this.client = PlatformHttpClient.withoutReuse(group, address, CONNECT_TIMEOUT_MS, MAX_CONNECTIONS);
 		this.loadMs = loadMs;
 	}
 
@@ -55,6 +64,11 @@
 			.thenApply(HttpBackendOrders::result);
 	}
 
+	@Override
+	public void close() {
+		this.client.close();
+	}
+
 	private static ObjectNode json(LoadOrder order) {
 		ObjectNode node = JsonNodeFactory.instance.objectNode();
 		node.put("fence", order.fence());
--- a/server/src/main/java/org/acaciamux/internal/process/AgentRuntime.java
+++ b/server/src/main/java/org/acaciamux/internal/process/AgentRuntime.java
@@ -29,7 +29,6 @@
 import org.acaciamux.internal.state.record.PoolSpec;
 import org.acaciamux.internal.transport.http.BackendClient;
 import org.acaciamux.internal.transport.http.BackendSettings;
-import org.acaciamux.internal.transport.http.PlatformHttpClient;
 import org.acaciamux.settings.AgentSettings;
 
 /**
@@ -47,10 +46,6 @@
 
 	private static final long NOT_STARTED = -1;
 
-	private static final int CONTROL_CONNECT_TIMEOUT_MS = 1_000;
-
-	private static final int CONTROL_CONNECTIONS = 2;
-
 	private final AtomicLong handoverDeadlineMs = new AtomicLong(NOT_STARTED);
 
 	private final ProcessCore core;
@@ -65,7 +60,7 @@
 
 	private final OrderController orders;
 
-	private final PlatformHttpClient backendControl;
+	private final HttpBackendOrders backendOrders;
 
 	private final AgentService service;
 
@@ -96,18 +91,18 @@
 		this.ownership = new PartitionOwnership(this.pool, core.settings.id(), core.incarnation, this.ledger,
 				core.records, core.members, () -> !this.service.backendDown(), core.clock, core.newRandom(),
 				OwnershipSettings.defaults());
-		this.backendControl = new PlatformHttpClient(core.group, settings.backend().toSocketAddress(),
-				CONTROL_CONNECT_TIMEOUT_MS, CONTROL_CONNECTIONS);
-		this.orders = createOrders(core);
+		OrderSettings orderSettings = OrderSettings.defaults();
+		this.backendOrders = new HttpBackendOrders(core.group, settings.backend().toSocketAddress(),
+				orderSettings.loadMs());
+		this.orders = createOrders(core, orderSettings);
 		suspects.onChange(this.exchange::soon);
 		registerHandlers(core);
 	}
 
-	private OrderController createOrders(ProcessCore core) {
-		OrderSettings settings = OrderSettings.defaults();
+	private OrderController createOrders(ProcessCore core, OrderSettings settings) {
 		return new OrderController(this.pool, core.settings.region(), core.settings.id(), core.incarnation, core.store,
-				new HttpBackendOrders(this.backendControl, settings.loadMs()), core.records, () -> poolLoad().members(),
-				core.clock, core.newRandom(), settings, core.registry);
+				this.backendOrders, core.records, () -> poolLoad().members(), core.clock, core.newRandom(), settings,
+				core.registry);
 	}
 
 	private void registerHandlers(ProcessCore core) {
@@ -227,7 +222,7 @@
 	@Override
 	public void close() {
 		this.backend.close();
-		this.backendControl.close();
+		this.backendOrders.close();
 	}
 
 }
--- a/server/src/main/java/org/acaciamux/internal/transport/http/PlatformHttpClient.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/PlatformHttpClient.java
@@ -36,8 +36,10 @@
 
 /**
  * HTTP client for the platform's APIs: one call per connection at a time, idle
- * connections are reused. Invariant: a reply is {@link Reply.NotSent} only if no byte of
- * the request was written. Thread-safe; replies complete on an event loop.
+ * connections are reused unless the client is created {@link #withoutReuse}. Invariants:
+ * a connection whose call got no response in time is closed; a reply is
+ * {@link Reply.NotSent} only if no byte of the request was written. Thread-safe; replies
+ * complete on an event loop.
  */
 public final class PlatformHttpClient implements AutoCloseable {
 
@@ -71,6 +73,8 @@
 
 	private final int maxConnections;
 
+	private final int maxIdle;
+
 	private final AtomicInteger connections = new AtomicInteger();
 
 	private final Deque<Channel> idle = new ConcurrentLinkedDeque<>();
@@ -87,8 +91,14 @@
 	 */
 	public PlatformHttpClient(EventLoopGroup group, InetSocketAddress address, int connectTimeoutMs,
 			int maxConnections) {
+		this(group, address, connectTimeoutMs, maxConnections, MAX_IDLE);
+	}
+
+	private PlatformHttpClient(EventLoopGroup group, InetSocketAddress address, int connectTimeoutMs,
+			int maxConnections, int maxIdle) {
 		this.address = address;
 		this.maxConnections = maxConnections;
+		this.maxIdle = maxIdle;
 		this.bootstrap = new Bootstrap().group(group)
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
@@ -103,6 +113,21 @@
 			});
 	}
 
+	/**
+	 * Create a client that opens a connection for each call. Responses do not tell which
+	 * call they answer, so a server that may answer a call twice needs this.
+	 * @param group the event loops; the caller shuts them down after this client
+	 * @param address the server's address
+	 * @param connectTimeoutMs time to open a connection, 1 to 60,000 milliseconds
+	 * @param maxConnections connections open at once, at least 1; further calls are
+	 * refused without being sent
+	 * @return the client
+	 */
+	public static PlatformHttpClient withoutReuse(EventLoopGroup group, InetSocketAddress address, int connectTimeoutMs,
+			int maxConnections) {
+		return new PlatformHttpClient(group, address, connectTimeoutMs, maxConnections, 0);
+	}
+
 	/**
 	 * Make a call.
 	 * @param method the HTTP method
@@ -200,7 +225,7 @@
 	}
 
 	private void release(Channel channel) {
-		if (this.closed || this.idle.size() >= MAX_IDLE) {
+		if (this.closed || this.idle.size() >= this.maxIdle) {
 			channel.close();
 			return;
 		}
