Do not take a success that says "not run" for a refusal

What callers would see: a request that must not run twice is sent to a second server, or refused with 503 as one that has not run, although a server answered it with a success. Found by review; no case is known.

Cause: ResponsePolicy looked at the statement "not run" before the status. The two contradict each other in a success, so neither is proved.

Change: such a response ends its send as BROKEN: a request that may have run gets 502, one that may run again goes elsewhere.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/ResponsePolicy.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/ResponsePolicy.java
@@ -37,12 +37,13 @@
 	 */
 	public static Optional<SendResult> unusable(int status, boolean notRun, boolean own, boolean repeatable,
 			boolean started) {
-		if (notRun || status == MISDIRECTED) {
-			return Optional.of(SendResult.REJECTED);
-		}
 		boolean success = status >= OK && status < MULTIPLE_CHOICES;
 		if (success) {
-			return own ? Optional.empty() : Optional.of(SendResult.BROKEN);
+			// A success that states that the request did not run contradicts itself.
+			return (own && !notRun) ? Optional.empty() : Optional.of(SendResult.BROKEN);
+		}
+		if (notRun || status == MISDIRECTED) {
+			return Optional.of(SendResult.REJECTED);
 		}
 		boolean tryElsewhere = status >= SERVER_ERROR && repeatable;
 		// These statuses would tell the caller, without proof, that the request has not
--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/ResponsePolicyTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/ResponsePolicyTests.java
@@ -22,6 +22,11 @@
 		assertEquals(ResponsePolicy.unusable(200, false, false, false, false), Optional.of(SendResult.BROKEN));
 	}
 
+	@Test
+	public void successThatSaysNotRunProvesNeither() {
+		assertEquals(ResponsePolicy.unusable(200, true, true, false, false), Optional.of(SendResult.BROKEN));
+	}
+
 	@Test
 	public void statusesThatMeanNotRunNeedProof() {
 		for (int status : new int[] { 408, 429, 503 }) {
