End a send at a response whose status is below 100

What callers saw in a test: a success after a response with the id of the request and status 99 or 0.

Cause: each status below 200 counted as interim, so such a response was skipped whatever it was. Found by review.

Change: only 100 to 199 are interim. A status below 100 has no meaning, the response cannot be read and ends its send.

FailureBeforeSuccessTests#aResponseWhoseStatusHasNoMeaningEndsTheRequest, 3 of 3 cases failed before and pass.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/ResponseEnd.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/ResponseEnd.java
@@ -19,6 +19,8 @@
  */
 public final class ResponseEnd {
 
+	private static final int FIRST_STATUS = 100;
+
 	private static final int FIRST_ERROR_STATUS = 300;
 
 	private final EventBoundary boundary = new EventBoundary();
@@ -49,12 +51,15 @@
 	}
 
 	/**
-	 * Check whether the body can be read: a coding other than chunks changes its bytes
-	 * and may hide where it ends.
+	 * Check whether the response can be read: a status below 100 has no meaning, and a
+	 * coding other than chunks changes the bytes of the body and may hide where it ends.
 	 * @param head the head of the response
 	 * @return why it cannot, empty if it can
 	 */
 	public static Optional<String> unreadable(HttpResponse head) {
+		if (head.status().code() < FIRST_STATUS) {
+			return Optional.of("the response has the status " + head.status().code());
+		}
 		return head.headers()
 			.getAll(HttpHeaderNames.TRANSFER_ENCODING)
 			.stream()
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
@@ -258,7 +258,7 @@
 			announced();
 		}
 		AttemptMatch match = this.attempts.match(reply.attemptIds());
-		if (response.status().code() < 200) {
+		if (HttpStatusClass.INFORMATIONAL.contains(response.status().code())) {
 			skipResponse(response, match);
 			return;
 		}
