End a HEAD request at a response without attempt id

What callers saw in a test: a HEAD request waited for its time limit behind a response without attempt id on a connection that was in use before.

Cause: the decoder reads a response as one to HEAD only if it bears the id of the request. Another one with a length is read with a body, so the next response is taken for that body. Found by review.

Change: a response without id ends the send of a HEAD request.

HeadAndSecondResponseTests#responseWithoutIdEndsAHeadRequest failed before and passes.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
@@ -291,7 +291,10 @@
 		this.reusable = false;
 		this.owner.foreignResponse();
 		int status = response.status().code();
-		if (this.attempts.mayAnswerLast(match, !HttpStatusClass.SUCCESS.contains(status))) {
+		// Behind a response to HEAD that is not known as one, the decoder reads no
+		// further.
+		boolean unskippable = match == AttemptMatch.MISSING && this.method.equals(HttpMethod.HEAD);
+		if (unskippable || this.attempts.mayAnswerLast(match, !HttpStatusClass.SUCCESS.contains(status))) {
 			this.owner.unattributedResponse();
 			this.listener.skipped(status, match);
 			broken(SendResult.UNATTRIBUTED, "a response " + status + " that may be the one to the request has "
