Do not reuse a connection on which a response has begun while it is idle

What callers saw: 502 for a request whose server answered it with a success. A late failure without an attempt id had begun on the idle connection and its rest came after the request was sent.

Cause: a connection was found to be in use by an unrequested response only when a whole head was decoded.

Evidence: OverlappingResponseTests#aLateFailureThatBeginsOnAnIdleConnectionDoesNotFailTheNextRequest failed before (502 instead of the own 200).

Change: a connection whose decoder holds undecoded bytes is not given to a request.

Result: the test passes; 178 cases of the response path in platform and 16 in server pass.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
@@ -63,6 +63,8 @@
 
 	private Channel channel;
 
+	private ServerResponseDecoder decoder;
+
 	private ServerListener listener;
 
 	private final SentAttempts attempts = new SentAttempts();
@@ -108,6 +110,7 @@
 	@Override
 	public void handlerAdded(ChannelHandlerContext ctx) {
 		this.channel = ctx.channel();
+		this.decoder = ctx.pipeline().get(ServerResponseDecoder.class);
 	}
 
 	String serverId() {
@@ -131,7 +134,9 @@
 	}
 
 	boolean usable(long now) {
-		return this.channel.isActive() && this.reusable && (now - this.idleSince) / NANOS_PER_MS < this.keepAliveMs
+		// A response that has begun while the connection is idle is a late one.
+		return this.channel.isActive() && this.reusable && !this.decoder.hasInput()
+				&& (now - this.idleSince) / NANOS_PER_MS < this.keepAliveMs
 				&& this.owner.lifetime(this.serverId).map(this.lifetime::equals).orElse(true);
 	}
 
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerResponseDecoder.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerResponseDecoder.java
@@ -24,6 +24,14 @@
 		this.answersHead = answersHead;
 	}
 
+	/**
+	 * Return whether bytes were read that are not decoded yet.
+	 * @return whether a part of a message has arrived
+	 */
+	boolean hasInput() {
+		return actualReadableBytes() > 0;
+	}
+
 	@Override
 	protected boolean isContentAlwaysEmpty(HttpMessage message) {
 		return super.isContentAlwaysEmpty(message)
