Name the request in the responses of the stand-ins

The agent opens a connection for each request to a backend server that does not return Acaciamux-Request-Id, so the benchmarks and process tests would no longer see a server whose connections are reused. Servers that name no request are covered by SecondBackendResponseTests.

--- a/examples/src/main/java/org/acaciamux/examples/standin/Exchange.java
+++ b/examples/src/main/java/org/acaciamux/examples/standin/Exchange.java
@@ -34,6 +34,8 @@
 
 	static final ObjectMapper JSON = new ObjectMapper();
 
+	private static final String REQUEST_ID = "Acaciamux-Request-Id";
+
 	private final Channel channel;
 
 	private final FullHttpRequest request;
@@ -126,7 +128,7 @@
 		response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
 		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
 		this.answered = true;
-		closeUnlessKeepAlive(this.channel.writeAndFlush(setKeepAlive(response)));
+		closeUnlessKeepAlive(this.channel.writeAndFlush(complete(response)));
 	}
 
 	void replyError(int status, String error) {
@@ -144,7 +146,7 @@
 		response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType);
 		HttpUtil.setTransferEncodingChunked(response, true);
 		this.answered = true;
-		this.channel.writeAndFlush(setKeepAlive(response));
+		this.channel.writeAndFlush(complete(response));
 	}
 
 	void write(byte[] bytes) {
@@ -187,8 +189,12 @@
 		this.channel.close();
 	}
 
-	private HttpResponse setKeepAlive(HttpResponse response) {
+	private HttpResponse complete(HttpResponse response) {
 		HttpUtil.setKeepAlive(response, this.keepAlive);
+		String requestId = this.request.headers().get(REQUEST_ID);
+		if (requestId != null) {
+			response.headers().set(REQUEST_ID, requestId);
+		}
 		return response;
 	}
 
