Test a second response to a probe before a request

The agent's own calls get new connections, but such a connection was kept for requests afterwards, so a second response to a probe was passed on to a caller.

--- a/server/src/test/java/org/acaciamux/internal/transport/http/SecondBackendResponseTests.java
+++ b/server/src/test/java/org/acaciamux/internal/transport/http/SecondBackendResponseTests.java
@@ -136,6 +136,28 @@
 		}
 	}
 
+	@Test
+	public void aSecondResponseToAProbeIsNotTakenForTheResponseToARequest() throws Exception {
+		AtomicReference<Socket> probed = new AtomicReference<>();
+		AnsweringServer.Answer answer = (socket, head) -> {
+			String id = AnsweringServer.header(head, "acaciamux-request-id", "");
+			if (head.startsWith("GET /v1/health ")) {
+				probed.set(socket);
+			}
+			else {
+				AnsweringServer.sendIfOpen(probed.get(), response(200, "the probe", false));
+			}
+			ScriptedServer.send(socket, response(200, id, false));
+		};
+		try (AnsweringServer server = new AnsweringServer(answer)) {
+			BackendClient client = client(server);
+			Backend.Health health = client.probe().toCompletableFuture().get(WAIT_S, TimeUnit.SECONDS);
+			assertEquals(health.state(), Backend.Health.State.UP);
+			assertOwn(start(client, "id-1"), "id-1");
+			client.close();
+		}
+	}
+
 	/**
 	 * An interim response is not the one to the request, whatever it names.
 	 */
