Count the crashes of one server once against a part of all requests

Cause: crashes are counted by the server's observed lifetime, and a server that refuses a connection begins a new one. Four or five lifetimes of one server and one or two other crashes made a part that all requests have look guilty. Such a part is at each crash, whatever the cause is, and no request without it could clear it.

Crashes of one server under a part that nine tenths of them have count as one. Other parts are judged as before, so that a part of some requests is refused also if a few servers crash in turn.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/PromptSuspects.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/PromptSuspects.java
@@ -82,6 +82,8 @@
 
 	private final ProvedParts provedParts = new ProvedParts();
 
+	private final PartTraffic traffic = new PartTraffic();
+
 	private final NanoClock clock;
 
 	private final CrashObserver observer;
@@ -123,6 +125,7 @@
 		PromptRun run = new PromptRun(this, service, shared, suspects, this.clock.nanoTime());
 		if (!shared.isEmpty()) {
 			this.runs.add(run);
+			this.traffic.started(service, shared);
 		}
 		return run;
 	}
@@ -262,7 +265,8 @@
 
 	private boolean probableCause(String id, SuspectPart part, long now) {
 		part.expire(now);
-		return part.suffice(now) && !proving(id, part.firstOpenAt().orElse(now));
+		return part.suffice(now, (service) -> this.traffic.common(service, id))
+				&& !proving(id, part.firstOpenAt().orElse(now));
 	}
 
 	// Whether a run that began after a crash is being written.
--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/ServerEntry.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/ServerEntry.java
@@ -27,4 +27,15 @@
 		return this.id + "@" + this.startedMs;
 	}
 
+	/**
+	 * Return the id of the server of a lifetime.
+	 * @param lifetime what {@link #lifetime()} or {@link ServerState#observedLifetime()}
+	 * returned
+	 * @return the id
+	 */
+	static String id(String lifetime) {
+		int end = lifetime.lastIndexOf('@');
+		return (end < 0) ? lifetime : lifetime.substring(0, end);
+	}
+
 }
--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/SuspectPart.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/SuspectPart.java
@@ -1,6 +1,5 @@
 package org.acaciamux.internal.coordination.direct;
 
-import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -8,6 +7,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.BiFunction;
 import java.util.function.Predicate;
 
 /**
@@ -148,23 +148,32 @@
 	/**
 	 * Return whether the crashes alone suffice to refuse the part.
 	 * @param now the monotonic time in nanoseconds
+	 * @param common whether nearly all requests for a service have the part. Several
+	 * crashes of one server then tell of the server, and count as one.
 	 * @return whether they do
 	 */
-	boolean suffice(long now) {
+	boolean suffice(long now, Predicate<String> common) {
 		OptionalLong first = firstOpenAt();
-		return first.isPresent() && now - first.getAsLong() >= PROOF_NANOS && separateCrashes() >= CRASHES_TO_REFUSE
+		return first.isPresent() && now - first.getAsLong() >= PROOF_NANOS
+				&& separateCrashes((server, crash) -> server) >= CRASHES_TO_REFUSE
+				&& separateCrashes((server, crash) -> common.test(crash.service) ? ServerEntry.id(server)
+						: server) >= CRASHES_TO_REFUSE
 				&& this.crashes.values()
 					.stream()
 					.filter((crash) -> !crash.cleared && crash.repeated)
 					.count() >= REPEATED_CRASHES_TO_REFUSE;
 	}
 
-	private int separateCrashes() {
-		long[] times = this.crashes.values().stream().filter((crash) -> !crash.cleared).mapToLong(Crash::at).toArray();
-		Arrays.sort(times);
+	private int separateCrashes(BiFunction<String, Crash, String> identity) {
+		Map<String, Long> firstAt = new HashMap<>();
+		this.crashes.forEach((server, crash) -> {
+			if (!crash.cleared) {
+				firstAt.merge(identity.apply(server, crash), crash.at, Math::min);
+			}
+		});
 		int separate = 0;
 		long last = 0;
-		for (long at : times) {
+		for (long at : firstAt.values().stream().sorted().toList()) {
 			if (separate == 0 || at - last >= SEPARATE_NANOS) {
 				separate++;
 				last = at;
--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/PromptCrashes.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/PromptCrashes.java
@@ -33,13 +33,17 @@
 
 	String crash(PromptSuspects at, PromptRun... runs) {
 		String server = nextServer();
+		crash(at, server, runs);
+		return server;
+	}
+
+	void crash(PromptSuspects at, String server, PromptRun... runs) {
 		for (PromptRun run : runs) {
 			at.brokeOff(run, server);
 			run.ended();
 		}
 		this.clock.advance(100);
 		at.lifetimeEnded(server);
-		return server;
 	}
 
 	void crashSeparately(PromptSuspects at, Set<String> parts, int crashes) {
--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/PromptSuspectsTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/PromptSuspectsTests.java
@@ -86,6 +86,55 @@
 		}
 	}
 
+	/**
+	 * One server that starts again and crashes within half a second is not evidence
+	 * against what all requests have.
+	 */
+	@Test
+	public void serverThatCrashesAgainAndAgainDoesNotMakeAPartOfAllRequestsRefused() {
+		for (int i = 0; i < 200; i++) {
+			this.fleet.serve(this.suspects, Set.of(COMMON, "doc-" + i % 20));
+		}
+		for (int i = 0; i < 5; i++) {
+			this.fleet.crash(this.suspects, "i-2@3#" + i, this.fleet.run(this.suspects, Set.of(COMMON, "doc-" + i)));
+			this.fleet.clock.advance(400);
+		}
+		this.fleet.crash(this.suspects, "i-1@3", this.fleet.run(this.suspects, Set.of(COMMON, "doc-5")));
+		this.fleet.crash(this.suspects, "i-0@3", this.fleet.run(this.suspects, Set.of(COMMON, "doc-6")));
+		this.fleet.clock.advance(PromptCrashes.PROOF_MS);
+		assertFalse(this.suspects.shouldRefuse(Set.of(COMMON, "doc-7")));
+	}
+
+	@Test
+	public void partOfAllRequestsThatCrashesFourServersIsRefused() {
+		for (int i = 0; i < 200; i++) {
+			this.fleet.serve(this.suspects, Set.of(COMMON));
+		}
+		for (int i = 0; i < 4; i++) {
+			this.fleet.crash(this.suspects, "i-" + i + "@3", this.fleet.run(this.suspects, Set.of(COMMON)));
+			this.fleet.clock.advance(400);
+		}
+		this.fleet.clock.advance(PromptCrashes.PROOF_MS);
+		assertTrue(this.suspects.shouldRefuse(Set.of(COMMON)));
+	}
+
+	/**
+	 * The only server of a service crashes again as soon as it is back.
+	 */
+	@Test
+	public void partOfAFewRequestsThatCrashesOneServerFourTimesIsRefused() {
+		for (int i = 0; i < 200; i++) {
+			this.fleet.serve(this.suspects, (i % 8 == 0) ? CRASHING : Set.of(COMMON));
+		}
+		for (int i = 0; i < 4; i++) {
+			this.fleet.crash(this.suspects, "i-0@" + i, this.fleet.run(this.suspects, CRASHING));
+			this.fleet.serve(this.suspects, Set.of(COMMON));
+		}
+		this.fleet.clock.advance(PromptCrashes.PROOF_MS);
+		assertTrue(this.suspects.shouldRefuse(CRASHING));
+		assertFalse(this.suspects.shouldRefuse(Set.of(COMMON)));
+	}
+
 	/**
 	 * Streams that a server has been writing to for long end with it.
 	 */
