Keep text from outside from cutting or forging log lines

What was seen: a line longer than one write could be cut in the middle if the process ended while the pipe was full, and a line break in a value began a line of its own.

Cause: only batches of several lines were kept to the 4,096 bytes that a pipe takes whole. A single line was written whatever its length, for example with an attempt id or prompt parts near the limit of the headers, and its text was not checked.

Evidence: lineThatIsLongerThanAWriteIsShortenedAndSaysSo failed with a line of 10,028 bytes, textWithLineBreaksStaysOnOneLine with two lines.

Change: DecisionLog encodes each line with LogText, which replaces control characters and shortens a line to one write, with the number of bytes that are missing.

--- a/server/src/main/java/org/acaciamux/internal/event/DecisionLog.java
+++ b/server/src/main/java/org/acaciamux/internal/event/DecisionLog.java
@@ -3,7 +3,6 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
@@ -16,8 +15,9 @@
 /**
  * Writes one structured line for each decision, in a background thread. Invariants:
  * {@link #line} never blocks; at most {@link #CAPACITY} lines wait; each write holds
- * whole lines; lines that do not fit or whose write fails are counted, and a later write
- * reports how many. Thread-safe.
+ * whole lines; a line that is longer than a write is shortened and says so; lines that do
+ * not fit or whose write fails are counted, and a later write reports how many.
+ * Thread-safe.
  */
 public final class DecisionLog implements AutoCloseable {
 
@@ -25,8 +25,8 @@
 	static final int CAPACITY = 2_048;
 
 	/**
-	 * Longest write of several lines, in bytes: a pipe takes it whole or not at all. A
-	 * longer batch may be cut in the middle of a line.
+	 * Longest write and longest line, in bytes: a pipe takes it whole or not at all. A
+	 * longer write may be cut in the middle of a line.
 	 */
 	static final int MAX_WRITE_BYTES = 4_096;
 
@@ -70,7 +70,7 @@
 	/**
 	 * Write a line, preceded by the time since 1970 and the monotonic time, both in
 	 * milliseconds.
-	 * @param line the line, without a line break
+	 * @param line the line
 	 */
 	public void line(String line) {
 		String stamped = "time=" + this.time.time() + " ms=" + this.clock.nanoTime() / NANOS_PER_MS + " " + line;
@@ -104,7 +104,7 @@
 		ByteArrayOutputStream chunk = new ByteArrayOutputStream(MAX_WRITE_BYTES);
 		int lines = 0;
 		for (String line : batch) {
-			byte[] bytes = (line + '\n').getBytes(StandardCharsets.UTF_8);
+			byte[] bytes = LogText.line(line, MAX_WRITE_BYTES);
 			if (lines > 0 && chunk.size() + bytes.length > MAX_WRITE_BYTES) {
 				write(chunk, lines);
 				lines = 0;
--- a/server/src/test/java/org/acaciamux/internal/event/DecisionLogTests.java
+++ b/server/src/test/java/org/acaciamux/internal/event/DecisionLogTests.java
@@ -4,6 +4,8 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 
 import org.testng.annotations.Test;
@@ -119,6 +121,34 @@
 		assertFalse(written.toString().contains("event=lost"), written.toString());
 	}
 
+	/**
+	 * A full pipe takes only the beginning of a longer write, and the process may end
+	 * before it takes the rest.
+	 */
+	@Test
+	public void lineThatIsLongerThanAWriteIsShortenedAndSaysSo() {
+		ByteArrayOutputStream written = new ByteArrayOutputStream();
+		DecisionLog log = new DecisionLog(written, () -> 0, () -> 0);
+		log.line("event=long text=" + "\u00e9".repeat(5_000));
+		log.line("event=next");
+		log.close();
+		List<String> lines = written.toString(StandardCharsets.UTF_8).lines().toList();
+		assertEquals(lines.size(), 2, written.toString());
+		int bytes = lines.get(0).getBytes(StandardCharsets.UTF_8).length;
+		assertTrue(bytes > DecisionLog.MAX_WRITE_BYTES - 100 && bytes < DecisionLog.MAX_WRITE_BYTES, bytes + " bytes");
+		assertTrue(lines.get(0).matches("time=0 ms=0 event=long text=\u00e9+ cutBytes=\\d+"), lines.get(0));
+	}
+
+	@Test
+	public void textWithLineBreaksStaysOnOneLine() {
+		ByteArrayOutputStream written = new ByteArrayOutputStream();
+		DecisionLog log = new DecisionLog(written, () -> 0, () -> 0);
+		log.line("event=test reason=\"a\r\nevent=forged\u2028b\u0085c\u0000d\"");
+		log.close();
+		assertEquals(written.toString(StandardCharsets.UTF_8),
+				"time=0 ms=0 event=test reason=\"a  event=forged b c d\"\n");
+	}
+
 	private static void await(CountDownLatch latch) {
 		try {
 			latch.await();
