Keep the log of a process after an error in its thread

What was seen: by reading and in a test, no line of a process is written any more after one lack of memory in the thread that writes the log, and nothing tells so. The requests are served meanwhile, without a line.

Cause: the thread handled only IOException of a write; any other error ended it.

Evidence: linesAfterAnErrorInTheBackgroundThreadAreWritten failed: nothing was written after the error.

Change: the thread goes on after an OutOfMemoryError or RuntimeException. Lines of a write that failed are counted as dropped; lines that were not reached stay in the batch, whose length is bounded by the capacity of the log.

Result: DecisionLogTests passes; the lines written and the counted ones add up to those given.

--- a/server/src/main/java/org/acaciamux/internal/event/DecisionLog.java
+++ b/server/src/main/java/org/acaciamux/internal/event/DecisionLog.java
@@ -3,8 +3,8 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
-import java.util.ArrayList;
-import java.util.List;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.atomic.AtomicLong;
@@ -80,53 +80,81 @@
 	}
 
 	private void write() {
-		List<String> batch = new ArrayList<>();
+		Deque<String> batch = new ArrayDeque<>();
 		try {
 			while (!this.closed) {
-				batch.add(this.waiting.take());
+				if (batch.isEmpty()) {
+					batch.add(this.waiting.take());
+				}
 				Thread.sleep(BATCH_INTERVAL_MS);
-				flush(batch);
+				tryFlush(batch);
 			}
 		}
 		catch (InterruptedException ex) {
 			// close() has interrupted this thread.
 		}
 		// This thread may not have run before close().
-		flush(batch);
+		tryFlush(batch);
 	}
 
-	private void flush(List<String> batch) {
-		this.waiting.drainTo(batch);
-		long lost = this.dropped.getAndSet(0);
-		if (lost > 0) {
-			batch.add("event=log-lines-dropped count=" + lost);
+	// A lack of memory may pass. What was not written is counted or stays in the batch.
+	private void tryFlush(Deque<String> batch) {
+		try {
+			flush(batch);
+		}
+		catch (RuntimeException | OutOfMemoryError ex) {
+			// The next batch reports the losses.
 		}
+	}
+
+	private void flush(Deque<String> batch) {
+		this.waiting.drainTo(batch, Math.max(0, CAPACITY - batch.size()));
+		reportLosses(batch);
 		ByteArrayOutputStream chunk = new ByteArrayOutputStream(MAX_WRITE_BYTES);
 		int lines = 0;
-		for (String line : batch) {
-			byte[] bytes = LogText.line(line, MAX_WRITE_BYTES);
-			if (lines > 0 && chunk.size() + bytes.length > MAX_WRITE_BYTES) {
+		try {
+			while (!batch.isEmpty()) {
+				byte[] bytes = LogText.line(batch.peek(), MAX_WRITE_BYTES);
+				if (lines > 0 && chunk.size() + bytes.length > MAX_WRITE_BYTES) {
+					int full = lines;
+					lines = 0;
+					write(chunk, full);
+				}
+				chunk.writeBytes(bytes);
+				batch.remove();
+				lines++;
+			}
+		}
+		finally {
+			if (lines > 0) {
 				write(chunk, lines);
-				lines = 0;
 			}
-			chunk.writeBytes(bytes);
-			lines++;
 		}
-		if (lines > 0) {
-			write(chunk, lines);
+	}
+
+	private void reportLosses(Deque<String> batch) {
+		long lost = this.dropped.getAndSet(0);
+		if (lost > 0) {
+			batch.add("event=log-lines-dropped count=" + lost);
 		}
-		batch.clear();
 	}
 
 	private void write(ByteArrayOutputStream chunk, int lines) {
+		boolean written = false;
 		try {
 			this.out.write(chunk.toByteArray(), 0, chunk.size());
 			this.out.flush();
+			written = true;
 		}
 		catch (IOException ex) {
-			this.dropped.addAndGet(lines);
+			// Counted below, like the lines that an error prevents.
+		}
+		finally {
+			if (!written) {
+				this.dropped.addAndGet(lines);
+			}
+			chunk.reset();
 		}
-		chunk.reset();
 	}
 
 	/**
--- a/server/src/test/java/org/acaciamux/internal/event/DecisionLogTests.java
+++ b/server/src/test/java/org/acaciamux/internal/event/DecisionLogTests.java
@@ -149,6 +149,40 @@
 				"time=0 ms=0 event=test reason=\"a  event=forged b c d\"\n");
 	}
 
+	/** The background thread ended, and no line of the process was written any more. */
+	@Test
+	public void linesAfterAnErrorInTheBackgroundThreadAreWritten() throws InterruptedException {
+		ByteArrayOutputStream written = new ByteArrayOutputStream();
+		DecisionLog log = new DecisionLog(new OutputStream() {
+			private boolean failed;
+
+			@Override
+			public void write(int b) {
+				throw new UnsupportedOperationException("lines are written as arrays");
+			}
+
+			@Override
+			public void write(byte[] bytes, int off, int len) {
+				if (!this.failed) {
+					this.failed = true;
+					throw new OutOfMemoryError("test");
+				}
+				written.write(bytes, off, len);
+			}
+		}, () -> 0, () -> 0);
+		int given = 0;
+		while (given < 500 && !written.toString().contains("event=log-lines-dropped")) {
+			log.line("event=more");
+			given++;
+			Thread.sleep(10);
+		}
+		log.close();
+		int writtenLines = written.toString().split("event=more\n", -1).length - 1;
+		assertTrue(writtenLines > 0, written.toString());
+		assertTrue(written.toString().contains("event=log-lines-dropped count=" + (given - writtenLines) + "\n"),
+				given + " lines: " + written);
+	}
+
 	private static void await(CountDownLatch latch) {
 		try {
 			latch.await();
