Name each request that ends before it is served in the log

What was seen: requests end without a line that names their attempt id, so that the log of a router cannot tell what became of them.

Cause: the line of a request is written by its exchange, which exists only from the end of its body on, and knew the attempt id only once the request was looked up in a configuration. Without a line, or with one without the id, were: requests refused with 400, 408, 413, 431 or 503 before they were complete; those whose connection, or whose router, ended before that; those read ahead behind another one, or sent after the last response of their connection; those that ended before a configuration was known; those with invalid headers. A quote in an attempt id or reason could forge fields, and a long id filled the log.

Change: request-invalid names the request; UnservedRequests writes request-incomplete and request-dropped and counts them; the exchange takes the id from the head. Ids and reasons are bounded and cannot end their fields. No decision changes.

Not named: a 431 whose attempt id is the last header before the one that is too long (the decoder has not stored it yet), and a request whose head did not arrive.

--- a/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
@@ -330,6 +330,7 @@
 		boolean timedOut = drainMs > this.settings.drainTimeoutMs() - STOP_MARGIN_MS;
 		if (timedOut) {
 			this.context.stopAll();
+			this.frontend.logUnserved();
 		}
 		if (timedOut || (this.context.inFlight() == 0 && this.frontend.connections() == 0)) {
 			this.log.line("event=stopped ms=" + drainMs + " cut=" + this.context.inFlight());
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/CallerEnds.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/CallerEnds.java
@@ -1,5 +1,7 @@
 package org.acaciamux.internal.transport.http.direct;
 
+import org.acaciamux.internal.event.LogText;
+
 /**
  * Counts and logs the connections of callers that the router ends without having
  * announced it in a response. Invariant: the lines are limited, the counters hold all of
@@ -29,7 +31,7 @@
 		}
 		this.context.log()
 			.line("event=caller-closed cause=" + cause.label + " idleMs=" + idleMs + " readAhead=" + readAhead
-					+ " reason=\"" + reason + "\"");
+					+ " reason=" + LogText.quoted(reason));
 	}
 
 	/**
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
@@ -78,6 +78,8 @@
 
 	private boolean closing;
 
+	private boolean unservedLogged;
+
 	DirectCaller(DirectContext context, DirectFrontend frontend, CallerInput input) {
 		this.context = context;
 		this.frontend = frontend;
@@ -103,7 +105,7 @@
 	@Override
 	public void channelRead(ChannelHandlerContext ctx, Object message) {
 		if (!(message instanceof HttpObject object) || this.closing) {
-			ReferenceCountUtil.release(message);
+			this.frontend.unserved().discard(message);
 			return;
 		}
 		if (this.exchange != null) {
@@ -119,6 +121,9 @@
 	private void read(HttpObject message) {
 		try {
 			if (message.decoderResult().isFailure()) {
+				if (message instanceof HttpRequest request) {
+					this.head = request;
+				}
 				malformed(message.decoderResult().cause());
 				return;
 			}
@@ -203,11 +208,12 @@
 
 	private void refuseAndClose(HttpResponseStatus status, HttpHeaders headers, String reason) {
 		this.closing = true;
+		Optional<HttpRequest> refused = Optional.ofNullable(this.head);
 		this.head = null;
 		releaseBody();
 		boolean written = false;
 		try {
-			this.context.log().line("event=request-invalid status=" + status.code() + " reason=\"" + reason + "\"");
+			this.frontend.unserved().refused(refused, status.code(), reason);
 			DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
 					Unpooled.EMPTY_BUFFER);
 			response.headers().set(headers);
@@ -385,8 +391,33 @@
 		}
 	}
 
+	/**
+	 * Log the requests that were read and will not be served. Has no effect if they have
+	 * been logged.
+	 * @param reason why they are not
+	 */
+	void logUnserved(String reason) {
+		if (this.unservedLogged) {
+			return;
+		}
+		this.unservedLogged = true;
+		if (this.head != null) {
+			this.frontend.unserved().incomplete(this.head, (this.body != null) ? this.body.length() : 0, reason);
+		}
+		this.readAhead.requests().forEach((request) -> this.frontend.unserved().dropped(request, reason));
+	}
+
 	@Override
 	public void channelInactive(ChannelHandlerContext ctx) {
+		try {
+			logUnserved("the connection was closed");
+		}
+		finally {
+			ended();
+		}
+	}
+
+	private void ended() {
 		this.closing = true;
 		this.frontend.closed(this);
 		this.readAhead.clear();
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
@@ -81,7 +81,7 @@
 		this.head = head;
 		this.body = body;
 		this.startedAt = context.now();
-		this.log = new ExchangeLog(context, this.startedAt);
+		this.log = new ExchangeLog(context, head, this.startedAt);
 	}
 
 	/**
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectFrontend.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectFrontend.java
@@ -39,6 +39,8 @@
 
 	private final CallerEnds ends;
 
+	private final UnservedRequests unserved;
+
 	private final IdleLimit idleLimit = new IdleLimit();
 
 	private Channel listener;
@@ -51,6 +53,7 @@
 		this.context = context;
 		this.ends = new CallerEnds(context);
 		context.bodyBudget().tick(context.now());
+		this.unserved = new UnservedRequests(context);
 	}
 
 	/**
@@ -127,6 +130,17 @@
 		return this.ends;
 	}
 
+	UnservedRequests unserved() {
+		return this.unserved;
+	}
+
+	/**
+	 * Log the requests that are cut off because the process ends.
+	 */
+	public void logUnserved() {
+		this.callers.forEach((caller) -> caller.logUnserved("the router stops"));
+	}
+
 	void closed(DirectCaller caller) {
 		this.callers.remove(caller);
 	}
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectMetrics.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectMetrics.java
@@ -36,6 +36,8 @@
 
 	private final Counter refusedBodies;
 
+	private final Counter unservedRequests;
+
 	private final Counter retries;
 
 	private final Counter resumes;
@@ -67,6 +69,7 @@
 		this.skippedResponses = registry.counter(PREFIX + "skipped-responses");
 		this.unrequestedResponses = registry.counter(PREFIX + "unrequested-responses");
 		this.refusedBodies = registry.counter(PREFIX + "refused-bodies");
+		this.unservedRequests = registry.counter(PREFIX + "unserved-requests");
 		this.retries = registry.counter(PREFIX + "retries");
 		this.resumes = registry.counter(PREFIX + "resumes");
 		this.unreadablePeerMessages = registry.counter(PREFIX + "unreadable-peer-messages");
@@ -118,6 +121,10 @@
 		this.refusedBodies.inc();
 	}
 
+	void requestUnserved() {
+		this.unservedRequests.inc();
+	}
+
 	void retry() {
 		this.retries.inc();
 	}
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ExchangeLog.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ExchangeLog.java
@@ -7,8 +7,11 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 
+import io.netty.handler.codec.http.HttpRequest;
+
 import org.acaciamux.internal.coordination.direct.SendResult;
 import org.acaciamux.internal.coordination.direct.TrafficConfig;
+import org.acaciamux.internal.event.LogText;
 import org.acaciamux.internal.transport.http.BodyFraming;
 
 /**
@@ -27,9 +30,9 @@
 
 	private final long startedAt;
 
-	private String request = "-";
+	private final String request;
 
-	private String route = "-";
+	private String route = LogText.UNKNOWN;
 
 	private String lastChoice = "none";
 
@@ -43,15 +46,12 @@
 
 	private long bytes;
 
-	ExchangeLog(DirectContext context, long startedAt) {
+	ExchangeLog(DirectContext context, HttpRequest head, long startedAt) {
 		this.context = context;
+		this.request = context.format().attemptId(head).map(LogText::id).orElse(LogText.UNKNOWN);
 		this.startedAt = startedAt;
 	}
 
-	void request(String attemptId) {
-		this.request = attemptId;
-	}
-
 	void route(String name) {
 		this.route = name;
 	}
@@ -102,7 +102,7 @@
 
 	void sendFailed(SendResult result, SendTrace send, CrashHistory crashes, String reason) {
 		line("send-failed", result + " server=" + send.describe(this.startedAt) + " fingerprint=" + crashes + response()
-				+ " reason=\"" + reason + "\"");
+				+ " reason=" + LogText.quoted(reason));
 	}
 
 	void ended(String outcome, String reason, Set<String> servers) {
@@ -112,7 +112,7 @@
 		line("request-ended",
 				outcome + " sends=" + this.sends.size() + " responses=" + responses() + " firstMs=" + first
 						+ " pauseMs=" + this.longestPause / NANOS_PER_MS + " ms=" + ms + response() + " servers="
-						+ servers + " lastChoice=" + this.lastChoice + " reason=\"" + reason + "\"");
+						+ servers + " lastChoice=" + this.lastChoice + " reason=" + LogText.quoted(reason));
 	}
 
 	// The last sends: those that were turned away before have lines of their own.
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ReadAhead.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ReadAhead.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.Map;
 
 import io.netty.handler.codec.http.HttpContent;
@@ -80,6 +81,14 @@
 		return this.messages.size();
 	}
 
+	/**
+	 * Return the requests whose heads are among the messages.
+	 * @return the heads, in the order received
+	 */
+	List<HttpRequest> requests() {
+		return this.messages.stream().filter(HttpRequest.class::isInstance).map(HttpRequest.class::cast).toList();
+	}
+
 	void clear() {
 		while (!this.messages.isEmpty()) {
 			ReferenceCountUtil.release(poll());
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/RequestLookup.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/RequestLookup.java
@@ -34,7 +34,6 @@
 			return Either.left(new Invalid(HttpResponseStatus.BAD_REQUEST, "invalid", parsed.getLeft()));
 		}
 		CallerRequest request = parsed.get();
-		log.request(request.attemptId());
 		Optional<ServiceRoute> route = config.route(request.host(), request.path());
 		if (route.isEmpty()) {
 			return Either
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerTakeover.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerTakeover.java
@@ -10,6 +10,7 @@
 import org.acaciamux.internal.coordination.direct.SendResult;
 import org.acaciamux.internal.coordination.direct.ServerState;
 import org.acaciamux.internal.coordination.direct.SilencePolicy;
+import org.acaciamux.internal.event.LogText;
 
 /**
  * Finds another server for a request whose server is silent. A sound server may be silent
@@ -97,8 +98,8 @@
 			server.failedToReach(now);
 			this.context.log()
 				.line("event=server-silent server=" + current.serverId() + " request="
-						+ this.admitted.request().attemptId() + " silentMs=" + current.silentMs(now) + " begun="
-						+ current.responding(this.admitted.route().streaming()) + " mayRunElsewhere="
+						+ LogText.id(this.admitted.request().attemptId()) + " silentMs=" + current.silentMs(now)
+						+ " begun=" + current.responding(this.admitted.route().streaming()) + " mayRunElsewhere="
 						+ mayRunElsewhere());
 		}
 	}
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/WireFormat.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/WireFormat.java
@@ -25,6 +25,13 @@
 	 */
 	Either<String, CallerRequest> request(HttpRequest request);
 
+	/**
+	 * Return the attempt id of a caller's request, also if its headers are invalid.
+	 * @param request the request
+	 * @return the id as the caller wrote it, the first one if there are several
+	 */
+	Optional<String> attemptId(HttpRequest request);
+
 	/**
 	 * Write the headers of a request to a backend server: those of the caller except for
 	 * the ones that only the router may set, and those of the router.
