Name the attempt of a dropped response in the log

What was seen: the log tells that a response was dropped, but not whose it was, so it cannot be joined with its request; a response that arrives after its send was given up leaves no trace.

Cause: skipped= and unrequested-response had the status and the match only, and a connection that was given up reported nothing.

Change: skipped= adds the attempt id of a response to another attempt; unrequested-response tells id, seal, the attempt that the connection carried last and its age. A response that begins on a connection which was given up is counted and logged as response-after-end, with the same limit of lines. Ids are bounded. No decision changes.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectMetrics.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectMetrics.java
@@ -34,6 +34,8 @@
 
 	private final Counter unrequestedResponses;
 
+	private final Counter responsesAfterEnd;
+
 	private final Counter refusedBodies;
 
 	private final Counter unservedRequests;
@@ -68,6 +70,7 @@
 		this.unattributedResponses = registry.counter(PREFIX + "unattributed-responses");
 		this.skippedResponses = registry.counter(PREFIX + "skipped-responses");
 		this.unrequestedResponses = registry.counter(PREFIX + "unrequested-responses");
+		this.responsesAfterEnd = registry.counter(PREFIX + "responses-after-end");
 		this.refusedBodies = registry.counter(PREFIX + "refused-bodies");
 		this.unservedRequests = registry.counter(PREFIX + "unserved-requests");
 		this.retries = registry.counter(PREFIX + "retries");
@@ -117,6 +120,10 @@
 		this.unrequestedResponses.inc();
 	}
 
+	void responseAfterEnd() {
+		this.responsesAfterEnd.inc();
+	}
+
 	void bodyRefused() {
 		this.refusedBodies.inc();
 	}
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/SendTrace.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/SendTrace.java
@@ -48,13 +48,12 @@
 
 	/**
 	 * Record a response that came before the one to the request.
-	 * @param skippedStatus its status
-	 * @param match how its attempt id relates to the request
+	 * @param response the response
 	 */
-	void skipped(int skippedStatus, AttemptMatch match) {
+	void skipped(DroppedResponse response) {
 		this.skippedCount++;
 		if (this.skipped.size() < MAX_LISTED) {
-			this.skipped.add(skippedStatus + ":" + match.label());
+			this.skipped.add(response.inList());
 		}
 	}
 
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/SentAttempts.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/SentAttempts.java
@@ -46,6 +46,14 @@
 		this.earlier[index] = hash;
 	}
 
+	/**
+	 * Return the attempt that was sent last.
+	 * @return its attempt id, empty if none was sent
+	 */
+	String last() {
+		return this.last;
+	}
+
 	/**
 	 * Return the number of requests that were sent.
 	 * @return the number
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
@@ -22,6 +22,7 @@
 import org.acaciamux.internal.coordination.direct.ResponsePolicy;
 import org.acaciamux.internal.coordination.direct.SendResult;
 import org.acaciamux.internal.coordination.direct.ServerEntry;
+import org.acaciamux.internal.event.LogText;
 import org.acaciamux.internal.transport.http.ResponseEnd;
 
 /**
@@ -97,11 +98,15 @@
 
 	private long idleSince;
 
+	/** When the last request was sent, or the connection created before that. */
+	private long sentAt;
+
 	ServerChannel(ServerChannels owner, int number, ServerEntry server, WireFormat format) {
 		super(false);
 		this.owner = owner;
 		this.number = number;
 		this.idleSince = owner.now();
+		this.sentAt = this.idleSince;
 		this.serverId = server.id();
 		this.lifetime = server.lifetime();
 		this.format = format;
@@ -169,6 +174,7 @@
 		this.listener = receiver;
 		this.lifetime = this.owner.lifetime(this.serverId).orElse(this.lifetime);
 		this.attempts.sent(attempt);
+		this.sentAt = this.owner.now();
 		this.method = request.method();
 		this.eventsExpected = events;
 		this.requestWritten = false;
@@ -244,15 +250,27 @@
 		}
 	}
 
+	private DroppedResponse dropped(HttpResponse response, AttemptMatch match) {
+		return new DroppedResponse(response.status().code(), match, this.format.reply(response));
+	}
+
 	// The rest of a response that is not read belongs to its request.
 	private void reportUnrequested(HttpObject message) {
-		if (this.abandoned || this.unrequestedReported) {
+		if (this.abandoned && !(message instanceof HttpResponse)) {
+			return;
+		}
+		if (this.abandoned) {
+			this.owner.responseAfterEnd();
+		}
+		if (this.unrequestedReported) {
 			return;
 		}
 		this.unrequestedReported = true;
-		String response = (message instanceof HttpResponse head)
-				? " status=" + head.status().code() + " attempt=" + match(head).label() : "";
-		this.owner.unrequested(this, (this.owner.now() - this.idleSince) / NANOS_PER_MS, response);
+		String response = (message instanceof HttpResponse head) ? dropped(head, match(head)).inFields() : "";
+		long now = this.owner.now();
+		this.owner.unrequested(this, this.abandoned,
+				response + " last=" + LogText.id(this.attempts.last()) + " lastAgeMs="
+						+ (now - this.sentAt) / NANOS_PER_MS + " idleMs=" + (now - this.idleSince) / NANOS_PER_MS);
 	}
 
 	private void head(HttpResponse response) {
@@ -301,7 +319,7 @@
 		boolean unskippable = match == AttemptMatch.MISSING && this.method.equals(HttpMethod.HEAD);
 		if (unskippable || this.attempts.mayAnswerLast(match, !HttpStatusClass.SUCCESS.contains(status))) {
 			this.owner.unattributedResponse();
-			this.listener.skipped(status, match);
+			this.listener.skipped(dropped(response, match));
 			broken(SendResult.UNATTRIBUTED, "a response " + status + " that may be the one to the request has "
 					+ ((match == AttemptMatch.MISSING) ? "no attempt id" : "an attempt id that was not sent"));
 			return;
@@ -321,7 +339,7 @@
 
 	private void skipResponse(HttpResponse response, AttemptMatch match) {
 		this.owner.skippedResponse();
-		this.listener.skipped(response.status().code(), match);
+		this.listener.skipped(dropped(response, match));
 		this.skipped.head(response).ifPresent(this::broken);
 	}
 
@@ -408,10 +426,9 @@
 		/**
 		 * A response arrived that does not bear the attempt id of the request, or an
 		 * interim one; it is not passed on.
-		 * @param status its status
-		 * @param match how its attempt id relates to the request
+		 * @param response the response
 		 */
-		void skipped(int status, AttemptMatch match);
+		void skipped(DroppedResponse response);
 
 		/**
 		 * The head of the response arrived.
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannels.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannels.java
@@ -244,18 +244,26 @@
 	/**
 	 * Record that bytes arrived on a connection that serves no request.
 	 * @param channel the connection
-	 * @param idleMs how long it has served none, in milliseconds
-	 * @param response log fields of the response that begins with them, empty if none
-	 * does
+	 * @param abandoned whether its last request was given up, which closed it
+	 * @param detail further fields of the line, preceded by a space
 	 */
-	void unrequested(ServerChannel channel, long idleMs, String response) {
-		this.metrics.unrequestedResponse();
+	void unrequested(ServerChannel channel, boolean abandoned, String detail) {
+		if (!abandoned) {
+			this.metrics.unrequestedResponse();
+		}
 		if (this.unrequestedLines.tryLine(now())) {
-			this.log.line("event=unrequested-response server=" + channel.serverId() + " conn=" + channel.describe()
-					+ " idleMs=" + idleMs + response);
+			this.log.line("event=" + (abandoned ? "response-after-end" : "unrequested-response") + " server="
+					+ channel.serverId() + " conn=" + channel.describe() + detail);
 		}
 	}
 
+	/**
+	 * Record that a response began on a connection whose request was given up.
+	 */
+	void responseAfterEnd() {
+		this.metrics.responseAfterEnd();
+	}
+
 	long now() {
 		return this.clock.nanoTime();
 	}
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerSend.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerSend.java
@@ -162,8 +162,8 @@
 	}
 
 	@Override
-	public void skipped(int skippedStatus, AttemptMatch match) {
-		this.trace.skipped(skippedStatus, match);
+	public void skipped(DroppedResponse response) {
+		this.trace.skipped(response);
 	}
 
 	@Override
