Tell how many log lines a limit left out

What was seen: of the lines that servers or callers can cause, 10 a second are written and the rest is left out without notice in the log, so that a missing line proves nothing.

Cause: LineLimit counted the lines of an interval only to compare them with the limit.

Evidence: linesBeyondTheLimitAreTold failed before: 100 second responses, and fewer than 100 told.

Change: a limit writes one line lines-suppressed with the number, after the interval, also if no further line of the kind comes.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/CallerEnds.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/CallerEnds.java
@@ -9,12 +9,17 @@
  */
 final class CallerEnds {
 
-	private final LineLimit limit = new LineLimit();
+	private final LineLimit limit;
 
 	private final DirectContext context;
 
 	CallerEnds(DirectContext context) {
 		this.context = context;
+		this.limit = new LineLimit("caller-closed", context.log());
+	}
+
+	void tick() {
+		this.limit.tick(this.context.now());
 	}
 
 	/**
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectFrontend.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectFrontend.java
@@ -150,6 +150,8 @@
 	 * second.
 	 */
 	public void tick() {
+		this.ends.tick();
+		this.unserved.tick();
 		RequestLimits limits = limits();
 		this.context.bodyBudget().tick(this.context.now());
 		// The default limits are not told to callers.
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannels.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannels.java
@@ -59,7 +59,7 @@
 
 	private final Map<String, Pool> pools = new HashMap<>();
 
-	private final LineLimit unrequestedLines = new LineLimit();
+	private final LineLimit unrequestedLines;
 
 	private int opened;
 
@@ -72,6 +72,7 @@
 		this.connectionShare = connectionShare;
 		this.metrics = metrics;
 		this.log = log;
+		this.unrequestedLines = new LineLimit("unrequested-response", log);
 	}
 
 	/**
@@ -189,6 +190,7 @@
 	 */
 	void tick() {
 		long now = now();
+		this.unrequestedLines.tick(now);
 		Set<String> removable = new HashSet<>();
 		this.pools.forEach((id, pool) -> {
 			boolean known = this.servers.find(id).isPresent();
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/UnservedRequests.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/UnservedRequests.java
@@ -15,12 +15,17 @@
  */
 final class UnservedRequests {
 
-	private final LineLimit lateLines = new LineLimit();
+	private final LineLimit lateLines;
 
 	private final DirectContext context;
 
 	UnservedRequests(DirectContext context) {
 		this.context = context;
+		this.lateLines = new LineLimit("request-dropped", context.log());
+	}
+
+	void tick() {
+		this.lateLines.tick(this.context.now());
 	}
 
 	/**
