Move ServerListener and its contract out of ServerChannel

No change of behaviour, except that the reason of an unattributed send calls the id of its response unknown, which a forgotten one is, too.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
@@ -321,7 +321,7 @@
 			this.owner.unattributedResponse();
 			this.listener.skipped(dropped(response, match));
 			broken(SendResult.UNATTRIBUTED, "a response " + status + " that may be the one to the request has "
-					+ ((match == AttemptMatch.MISSING) ? "no attempt id" : "an attempt id that was not sent"));
+					+ ((match == AttemptMatch.MISSING) ? "no attempt id" : "an unknown attempt id"));
 			return;
 		}
 		// The response to the current request may follow.
@@ -418,45 +418,4 @@
 		broken((cause instanceof IOException) ? "the connection failed: " + cause.getMessage() : cause.toString());
 	}
 
-	/**
-	 * Receives one response. No call follows {@link #completed} or {@link #broken}.
-	 */
-	interface ServerListener {
-
-		/**
-		 * A response arrived that does not bear the attempt id of the request, or an
-		 * interim one; it is not passed on.
-		 * @param response the response
-		 */
-		void skipped(DroppedResponse response);
-
-		/**
-		 * The head of the response arrived.
-		 * @param response the head
-		 * @param reply what the server states in its headers
-		 */
-		void head(HttpResponse response, WireFormat.ServerReply reply);
-
-		/**
-		 * A part of the body arrived.
-		 * @param data the part, valid during the call
-		 */
-		void data(ByteBuf data);
-
-		/**
-		 * The response is complete.
-		 * @param endMarked whether a length or chunks show that it is; otherwise its
-		 * connection was closed, which a crash does too
-		 */
-		void completed(boolean endMarked);
-
-		/**
-		 * The response will not be completed.
-		 * @param result how the send ended
-		 * @param reason the cause, for the log
-		 */
-		void broken(SendResult result, String reason);
-
-	}
-
 }
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerSend.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerSend.java
@@ -20,7 +20,7 @@
  * as in flight until {@link #end}; a connection that is opened after the end is released
  * unused. Confined to the event loop.
  */
-final class ServerSend implements ServerChannel.ServerListener {
+final class ServerSend implements ServerListener {
 
 	private static final long NANOS_PER_MS = 1_000_000;
 
