--- a/server/src/main/java/org/acaciamux/internal/transport/http/BackendExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/BackendExchange.java
@@ -241,9 +241,7 @@
 			if (!this.interim) {
 				this.responseEnd = ResponseEnd.of(HttpMethod.valueOf(BackendExchange.this.request.method()), response,
 						false);
-				// Without ids, a second response to this request could not be told from
-				// the
-				// response to the next one.
+				// Without ids, a second response could not be told from the next one.
 				this.reusable = HttpUtil.isKeepAlive(response)
 						&& CarriedRequests.of(context.channel()).namesLast(response);
 				BackendExchange.this.listener.head(response.status().code(), headersOf(response));
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerChannel.java
@@ -314,10 +314,9 @@
 		this.reusable = false;
 		this.owner.foreignResponse();
 		int status = response.status().code();
-		// Behind a response to HEAD that is not known as one, the decoder reads no
-		// further.
-		boolean unskippable = match == AttemptMatch.MISSING && this.method.equals(HttpMethod.HEAD);
-		if (unskippable || this.attempts.mayAnswerLast(match, !HttpStatusClass.SUCCESS.contains(status))) {
+		// The decoder would take the response that follows for the body of this one.
+		boolean endsHead = match == AttemptMatch.MISSING && this.method.equals(HttpMethod.HEAD);
+		if (endsHead || this.attempts.mayAnswerLast(match, !HttpStatusClass.SUCCESS.contains(status))) {
 			this.owner.unattributedResponse();
 			this.listener.skipped(dropped(response, match));
 			broken(SendResult.UNATTRIBUTED, "a response " + status + " that may be the one to the request has "
