Tell in the log when a request began and ended in a drain

request-ended has drainMs=BEGUN/ENDED in a drain, drain-started has lateMs, stopInMs and the open connections, stopped counts before the requests are ended. No decision is changed.

--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/DrainTimes.java
@@ -0,0 +1,32 @@
+package org.acaciamux.internal.coordination.direct;
+
+/**
+ * Times of the drain of a router. Immutable and thread-safe.
+ *
+ * @param signalledAt when the router was told to stop, monotonic time in nanoseconds
+ * @param stopsAt when it ends the requests that are still in progress, monotonic time in
+ * nanoseconds
+ */
+public record DrainTimes(long signalledAt, long stopsAt) {
+
+	private static final long NANOS_PER_MS = 1_000_000;
+
+	/**
+	 * Return how long ago the router was told to stop.
+	 * @param now the monotonic time in nanoseconds
+	 * @return the time in milliseconds, negative for a time before
+	 */
+	public long elapsedMs(long now) {
+		return (now - this.signalledAt) / NANOS_PER_MS;
+	}
+
+	/**
+	 * Return the time until the requests in progress are ended.
+	 * @param now the monotonic time in nanoseconds
+	 * @return the time in milliseconds, negative after that
+	 */
+	public long leftMs(long now) {
+		return (this.stopsAt - now) / NANOS_PER_MS;
+	}
+
+}
--- a/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
@@ -20,6 +20,7 @@
 import org.acaciamux.internal.coordination.direct.CrashObserver;
 import org.acaciamux.internal.coordination.direct.CrashSuspects;
 import org.acaciamux.internal.coordination.direct.DirectoryPosition;
+import org.acaciamux.internal.coordination.direct.DrainTimes;
 import org.acaciamux.internal.coordination.direct.ExchangePolicy;
 import org.acaciamux.internal.coordination.direct.FleetLoads;
 import org.acaciamux.internal.coordination.direct.FleetSize;
@@ -308,14 +309,19 @@
 	 * @param whenDone the action, which ends the process
 	 */
 	public void drain(Runnable whenDone) {
+		long signalledAt = this.clock.nanoTime();
 		this.loop.execute(() -> {
 			if (this.draining) {
 				return;
 			}
-			this.log.line("event=drain-started inFlight=" + this.context.inFlight());
 			this.draining = true;
 			this.drainSince = this.clock.nanoTime();
-			this.context.drain();
+			DrainTimes times = new DrainTimes(signalledAt,
+					this.drainSince + TimeUnit.MILLISECONDS.toNanos(this.settings.drainTimeoutMs() - STOP_MARGIN_MS));
+			this.log.line("event=drain-started inFlight=" + this.context.inFlight() + " connections="
+					+ this.frontend.connections() + " lateMs=" + times.elapsedMs(this.drainSince) + " stopInMs="
+					+ times.leftMs(this.drainSince));
+			this.context.drain(times);
 			schedule(TICK_INTERVAL_MS, () -> checkDrained(whenDone));
 		});
 	}
@@ -328,12 +334,14 @@
 		}
 		this.frontend.stopAccepting();
 		boolean timedOut = drainMs > this.settings.drainTimeoutMs() - STOP_MARGIN_MS;
+		int inFlight = this.context.inFlight();
 		if (timedOut) {
 			this.context.stopAll();
 			this.frontend.logUnserved();
 		}
-		if (timedOut || (this.context.inFlight() == 0 && this.frontend.connections() == 0)) {
-			this.log.line("event=stopped ms=" + drainMs + " cut=" + this.context.inFlight());
+		if (timedOut || (inFlight == 0 && this.frontend.connections() == 0)) {
+			this.log.line("event=stopped ms=" + drainMs + " cut=" + inFlight + " connections="
+					+ this.frontend.connections());
 			this.directory.leave();
 			this.peers.leave();
 			this.loop.schedule(whenDone, TICK_INTERVAL_MS, TimeUnit.MILLISECONDS);
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectContext.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectContext.java
@@ -12,6 +12,7 @@
 
 import org.acaciamux.internal.coordination.direct.Admission;
 import org.acaciamux.internal.coordination.direct.CrashSuspects;
+import org.acaciamux.internal.coordination.direct.DrainTimes;
 import org.acaciamux.internal.coordination.direct.FleetSize;
 import org.acaciamux.internal.coordination.direct.Placement;
 import org.acaciamux.internal.coordination.direct.PromptSuspects;
@@ -73,7 +74,7 @@
 
 	private boolean serversKnown;
 
-	private boolean draining;
+	private Optional<DrainTimes> drain = Optional.empty();
 
 	private OptionalInt divisor = OptionalInt.empty();
 
@@ -204,13 +205,18 @@
 
 	/**
 	 * Close each connection after its next response.
+	 * @param times the times of the drain
 	 */
-	public void drain() {
-		this.draining = true;
+	public void drain(DrainTimes times) {
+		this.drain = Optional.of(times);
 	}
 
 	boolean draining() {
-		return this.draining;
+		return this.drain.isPresent();
+	}
+
+	Optional<DrainTimes> drainTimes() {
+		return this.drain;
 	}
 
 	/**
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ExchangeLog.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ExchangeLog.java
@@ -111,7 +111,7 @@
 		this.context.metrics().ended(outcome, ms);
 		line("request-ended",
 				outcome + " sends=" + this.sends.size() + " responses=" + responses() + " firstMs=" + first
-						+ " pauseMs=" + this.longestPause / NANOS_PER_MS + " ms=" + ms + response() + " servers="
+						+ " pauseMs=" + this.longestPause / NANOS_PER_MS + " ms=" + ms + drain() + response() + " servers="
 						+ servers + " lastChoice=" + this.lastChoice + " reason=" + LogText.quoted(reason));
 	}
 
@@ -124,6 +124,13 @@
 			.collect(Collectors.joining(", ", (left > 0) ? "[+" + left + ", " : "[", "]"));
 	}
 
+	// When the request began and ended in a drain, negative before it.
+	private String drain() {
+		return this.context.drainTimes()
+			.map((times) -> " drainMs=" + times.elapsedMs(this.startedAt) + "/" + times.elapsedMs(this.context.now()))
+			.orElse("");
+	}
+
 	private String response() {
 		String name = this.framing.map((value) -> value.name().toLowerCase(Locale.ROOT)).orElse("no-response");
 		return " framing=" + name + " bytes=" + this.bytes;
