Move the end of a request out of DirectExchange

ExchangeEnd records the end of a request and gives the responses that are the router's own. No change of behaviour.

--- a/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
@@ -340,8 +340,8 @@
 			this.frontend.logUnserved();
 		}
 		if (timedOut || (inFlight == 0 && this.frontend.connections() == 0)) {
-			this.log.line("event=stopped ms=" + drainMs + " cut=" + inFlight + " connections="
-					+ this.frontend.connections());
+			this.log.line(
+					"event=stopped ms=" + drainMs + " cut=" + inFlight + " connections=" + this.frontend.connections());
 			this.directory.leave();
 			this.peers.leave();
 			this.loop.schedule(whenDone, TICK_INTERVAL_MS, TimeUnit.MILLISECONDS);
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
@@ -5,13 +5,10 @@
 import java.util.Set;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.vavr.control.Either;
 
-import org.acaciamux.internal.coordination.direct.Admission;
 import org.acaciamux.internal.coordination.direct.AttemptPolicy;
 import org.acaciamux.internal.coordination.direct.AttemptPolicy.Decision;
 import org.acaciamux.internal.coordination.direct.CallerRequest;
@@ -53,6 +50,8 @@
 
 	private final ExchangeLog log;
 
+	private final ExchangeEnd end;
+
 	/** Null until the request is admitted. */
 	private AdmittedRequest admitted;
 
@@ -67,8 +66,6 @@
 
 	private long slotFreeMs;
 
-	private boolean ended;
-
 	private long deadlineAt;
 
 	private CrashHistory crashes;
@@ -82,6 +79,7 @@
 		this.body = body;
 		this.startedAt = context.now();
 		this.log = new ExchangeLog(context, head, this.startedAt);
+		this.end = new ExchangeEnd(context, caller, this, this.log, this.startedAt);
 	}
 
 	/**
@@ -101,7 +99,7 @@
 
 	void start() {
 		RequestLookup.find(this.context.format(), this.context.config().orElseThrow(), this.head, this.log)
-			.peekLeft((invalid) -> finish(invalid.status(), invalid.outcome(), invalid.reason()))
+			.peekLeft((invalid) -> this.end.respond(invalid.status(), invalid.outcome(), invalid.reason(), this.tried))
 			.forEach((found) -> admit(found.request(), found.route(), found.organisation()));
 	}
 
@@ -242,7 +240,7 @@
 
 	@Override
 	public void completed(ServerSend send, boolean proved) {
-		if (this.ended) {
+		if (this.end.ended()) {
 			return;
 		}
 		this.context.admission().answered(this.admitted.service(), (this.context.now() - send.sentAt()) / NANOS_PER_MS);
@@ -250,13 +248,13 @@
 		if (proved) {
 			this.crashes.completed(this.relay.status());
 		}
-		close("answered", "status " + this.relay.status());
+		this.end.record("answered", "status " + this.relay.status(), this.tried);
 		this.relay.end();
 	}
 
 	@Override
 	public void broken(ServerSend send, SendResult result, String reason) {
-		if (this.ended) {
+		if (this.end.ended()) {
 			return;
 		}
 		recordFailure(send, result, reason);
@@ -322,39 +320,15 @@
 	private void conclude(Decision decision, String reason) {
 		switch (decision) {
 			case REFUSE -> refuse(reason);
-			case FAIL -> fail(reason);
-			default -> {
-				close("broken-off", reason);
-				this.caller.breakOff();
-			}
+			case FAIL -> this.end.fail(reason, this.tried, this.deadlineAt);
+			default -> this.end.breakOff(reason, this.tried);
 		}
 	}
 
 	private void refuse(String reason) {
-		long leftMs = (this.deadlineAt - this.context.now()) / NANOS_PER_MS;
-		double random = (StableHash.mix(this.startedAt) >>> 11) / (double) (1L << 53);
 		// A caller that came back during a quarantine would be refused again.
 		long quarantinedMs = (this.crashes != null) ? this.crashes.refusedForMs() : 0;
-		long ms = Math.max(quarantinedMs, Admission.retryAfterMs(this.slotFreeMs, leftMs, random));
-		close("refused", reason);
-		this.caller.respond(HttpResponseStatus.SERVICE_UNAVAILABLE, OutgoingHeaders.retryAfter(ms),
-				Unpooled.EMPTY_BUFFER);
-	}
-
-	private void fail(String reason) {
-		boolean late = this.context.now() >= this.deadlineAt;
-		finish(late ? HttpResponseStatus.GATEWAY_TIMEOUT : HttpResponseStatus.BAD_GATEWAY, "failed", reason);
-	}
-
-	private void finish(HttpResponseStatus status, String outcome, String reason) {
-		close(outcome, status.code() + " " + reason);
-		this.caller.respond(status, OutgoingHeaders.FACTORY.newHeaders(), Unpooled.EMPTY_BUFFER);
-	}
-
-	private void close(String outcome, String reason) {
-		this.ended = true;
-		this.context.remove(this);
-		this.log.ended(outcome, reason, this.tried);
+		this.end.refuse(reason, this.tried, this.deadlineAt, this.slotFreeMs, quarantinedMs);
 	}
 
 	/**
@@ -364,7 +338,7 @@
 	 */
 	void tick(long readUntil) {
 		boolean expired = readUntil >= this.deadlineAt;
-		if (this.ended || !expired && this.admitted == null) {
+		if (this.end.ended() || !expired && this.admitted == null) {
 			return;
 		}
 		if (this.admitted == null) {
@@ -426,17 +400,17 @@
 	 * Cancel the request because the caller has closed its connection.
 	 */
 	void callerDisconnected() {
-		if (!this.ended) {
+		if (!this.end.ended()) {
 			cancelSend();
-			close("caller-left", "the caller closed its connection");
+			this.end.record("caller-left", "the caller closed its connection", this.tried);
 		}
 	}
 
 	void stop() {
-		if (!this.ended && this.admitted == null) {
+		if (!this.end.ended() && this.admitted == null) {
 			refuse("the router is stopping");
 		}
-		else if (!this.ended) {
+		else if (!this.end.ended()) {
 			cancelSend();
 			giveUp("the router is stopping");
 		}
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ExchangeLog.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ExchangeLog.java
@@ -109,10 +109,9 @@
 		long ms = (this.context.now() - this.startedAt) / NANOS_PER_MS;
 		long first = hasData() ? (this.firstByteAt - this.startedAt) / NANOS_PER_MS : -1;
 		this.context.metrics().ended(outcome, ms);
-		line("request-ended",
-				outcome + " sends=" + this.sends.size() + " responses=" + responses() + " firstMs=" + first
-						+ " pauseMs=" + this.longestPause / NANOS_PER_MS + " ms=" + ms + drain() + response() + " servers="
-						+ servers + " lastChoice=" + this.lastChoice + " reason=" + LogText.quoted(reason));
+		line("request-ended", outcome + " sends=" + this.sends.size() + " responses=" + responses() + " firstMs="
+				+ first + " pauseMs=" + this.longestPause / NANOS_PER_MS + " ms=" + ms + drain() + response()
+				+ " servers=" + servers + " lastChoice=" + this.lastChoice + " reason=" + LogText.quoted(reason));
 	}
 
 	// The last sends: those that were turned away before have lines of their own.
