Refuse a stream that a draining router cannot finish

What callers saw: a stream that had reached a server ended without its end when its router stopped, 7.4 s after SIGTERM.

Cause: a router took on whatever came on an open connection until it stopped, without asking whether it can finish it. The head of a stream that was sent before the signal has not announced that the connection closes, so a caller that uses the connection again at once had its next stream accepted at any moment of the drain.

Change: DrainAdmission decides before each first send. A request begins if its time limit passes before the router stops. While the load balancer still sends, a stream begins also if nine in ten of the last streams of its route took less than the time left; other requests, which get a final response in any case, if the last of their route did. All others get 503 at once with the close announced, and come back when the load balancer has stopped choosing this router (after the stop if no other router is known).

Why it works: the time limit bounds a request, and what is not bounded is not begun when the load balancer has stopped. It asks where requests are sent, so that those read ahead, those that waited for a configuration or a server and those that a server has rejected pass it, too.

--- /dev/null
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/DrainAdmission.java
@@ -0,0 +1,99 @@
+package org.acaciamux.internal.coordination.direct;
+
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * Decides which requests a router still sends in its drain, when callers use open
+ * connections again and the load balancer does not know of the drain yet. Invariant: a
+ * request is sent only if it is expected to end before the router stops, by its time
+ * limit or by the durations of the route's last requests; a stream for which the load
+ * balancer did not choose this router is sent by its time limit only, because one that is
+ * cut has no final response. Confined to the event loop.
+ */
+public final class DrainAdmission {
+
+	/** Requests of a route whose durations are kept. */
+	static final int SAMPLES = 64;
+
+	/** Streams of a route below which their durations tell too little. */
+	static final int MIN_STREAMS = 20;
+
+	/** Share of the requests of a route that take no longer than expected. */
+	private static final double EXPECTED_QUANTILE = 0.9;
+
+	/**
+	 * Duration in milliseconds that is expected at least of requests other than streams.
+	 */
+	private static final long MIN_PLAIN_MS = 1_000;
+
+	/** Routes whose durations are kept; those that were not used are dropped first. */
+	private static final int MAX_ROUTES = 512;
+
+	private final Map<String, Durations> durations = new LinkedHashMap<>(16, 0.75F, true) {
+
+		private static final long serialVersionUID = 1L;
+
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<String, Durations> eldest) {
+			return size() > MAX_ROUTES;
+		}
+
+	};
+
+	/**
+	 * Record a request that was answered.
+	 * @param route its route
+	 * @param ms milliseconds from its arrival to the end of its response
+	 */
+	public void answered(ServiceRoute route, long ms) {
+		this.durations.computeIfAbsent(route.name(), (name) -> new Durations()).add(ms);
+	}
+
+	/**
+	 * Decide whether a request is sent.
+	 * @param route its route
+	 * @param limitMs milliseconds until its time limit
+	 * @param drain the times of the drain
+	 * @param now the monotonic time in nanoseconds
+	 * @return whether it is expected to end before the router stops
+	 */
+	public boolean mayBegin(ServiceRoute route, long limitMs, DrainTimes drain, long now) {
+		long expectedMs = route.streaming() ? streamMs(route, limitMs, drain.balancerLeftMs(now) > 0) : plainMs(route);
+		return Math.min(limitMs, expectedMs) < drain.leftMs(now);
+	}
+
+	private long streamMs(ServiceRoute route, long limitMs, boolean balanced) {
+		Durations known = this.durations.get(route.name());
+		return (balanced && known != null && known.count >= MIN_STREAMS) ? known.expectedMs() : limitMs;
+	}
+
+	private long plainMs(ServiceRoute route) {
+		Durations known = this.durations.get(route.name());
+		return (known != null) ? Math.max(MIN_PLAIN_MS, known.expectedMs()) : MIN_PLAIN_MS;
+	}
+
+	private static final class Durations {
+
+		private final long[] last = new long[SAMPLES];
+
+		private int count;
+
+		private int next;
+
+		void add(long ms) {
+			this.last[this.next] = ms;
+			this.next = (this.next + 1) % SAMPLES;
+			this.count = Math.min(SAMPLES, this.count + 1);
+		}
+
+		long expectedMs() {
+			long[] sorted = Arrays.copyOf(this.last, this.count);
+			Arrays.sort(sorted);
+			return sorted[(int) Math.ceil(EXPECTED_QUANTILE * this.count) - 1];
+		}
+
+	}
+
+}
--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/DrainTimes.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/DrainTimes.java
@@ -4,10 +4,12 @@
  * Times of the drain of a router. Immutable and thread-safe.
  *
  * @param signalledAt when the router was told to stop, monotonic time in nanoseconds
+ * @param balancerStopsAt when the load balancer has stopped sending requests, monotonic
+ * time in nanoseconds
  * @param stopsAt when it ends the requests that are still in progress, monotonic time in
  * nanoseconds
  */
-public record DrainTimes(long signalledAt, long stopsAt) {
+public record DrainTimes(long signalledAt, long balancerStopsAt, long stopsAt) {
 
 	private static final long NANOS_PER_MS = 1_000_000;
 
@@ -20,6 +22,15 @@
 		return (now - this.signalledAt) / NANOS_PER_MS;
 	}
 
+	/**
+	 * Return the time until the load balancer has stopped sending requests.
+	 * @param now the monotonic time in nanoseconds
+	 * @return the time in milliseconds, at most 0 after that
+	 */
+	public long balancerLeftMs(long now) {
+		return (this.balancerStopsAt - now) / NANOS_PER_MS;
+	}
+
 	/**
 	 * Return the time until the requests in progress are ended.
 	 * @param now the monotonic time in nanoseconds
--- a/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
@@ -317,6 +317,7 @@
 			this.draining = true;
 			this.drainSince = this.clock.nanoTime();
 			DrainTimes times = new DrainTimes(signalledAt,
+					this.drainSince + TimeUnit.MILLISECONDS.toNanos(STOP_ACCEPTING_AFTER_MS),
 					this.drainSince + TimeUnit.MILLISECONDS.toNanos(this.settings.drainTimeoutMs() - STOP_MARGIN_MS));
 			this.log.line("event=drain-started inFlight=" + this.context.inFlight() + " connections="
 					+ this.frontend.connections() + " lateMs=" + times.elapsedMs(this.drainSince) + " stopInMs="
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectContext.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectContext.java
@@ -12,6 +12,7 @@
 
 import org.acaciamux.internal.coordination.direct.Admission;
 import org.acaciamux.internal.coordination.direct.CrashSuspects;
+import org.acaciamux.internal.coordination.direct.DrainAdmission;
 import org.acaciamux.internal.coordination.direct.DrainTimes;
 import org.acaciamux.internal.coordination.direct.FleetSize;
 import org.acaciamux.internal.coordination.direct.Placement;
@@ -68,6 +69,8 @@
 
 	private final Admission admission;
 
+	private final DrainAdmission drainAdmission = new DrainAdmission();
+
 	private Optional<TrafficConfig> config = Optional.empty();
 
 	private final List<DirectExchange> waiting = new ArrayList<>();
@@ -204,7 +207,8 @@
 	}
 
 	/**
-	 * Close each connection after its next response.
+	 * Close each connection after its next response, and send only requests that end
+	 * before the router stops.
 	 * @param times the times of the drain
 	 */
 	public void drain(DrainTimes times) {
@@ -301,6 +305,10 @@
 		return this.admission;
 	}
 
+	DrainAdmission drainAdmission() {
+		return this.drainAdmission;
+	}
+
 	RetryBudgets budgets() {
 		return this.budgets;
 	}
@@ -317,6 +325,10 @@
 		return this.crashCheck;
 	}
 
+	boolean onlyRouter() {
+		return this.fleet.known() == 1;
+	}
+
 	/**
 	 * Return the number of connections that a server of a service accepts.
 	 * @param service the service
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
@@ -12,6 +12,7 @@
 import org.acaciamux.internal.coordination.direct.AttemptPolicy;
 import org.acaciamux.internal.coordination.direct.AttemptPolicy.Decision;
 import org.acaciamux.internal.coordination.direct.CallerRequest;
+import org.acaciamux.internal.coordination.direct.DrainTimes;
 import org.acaciamux.internal.coordination.direct.Organisation;
 import org.acaciamux.internal.coordination.direct.ResponsePolicy;
 import org.acaciamux.internal.coordination.direct.SendResult;
@@ -122,7 +123,7 @@
 			giveUp("the time limit has passed");
 			return;
 		}
-		if (stoppedByCrashes(this::send)) {
+		if (stoppedByCrashes(this::send) || stoppedByDrain()) {
 			return;
 		}
 		Either<ServerChoice.None, ServerState> chosen = ServerChoice.choose(this.context, this.admitted, this.tried);
@@ -146,6 +147,19 @@
 		return decision != SuspectHold.Decision.SEND;
 	}
 
+	// Returns whether the request is refused, because it would be cut when the router
+	// stops.
+	private boolean stoppedByDrain() {
+		long now = this.context.now();
+		Optional<DrainTimes> stopping = this.context.drainTimes()
+			.filter((times) -> this.policy.giveUp(relayStarted()) == Decision.REFUSE)
+			.filter((times) -> !this.context.drainAdmission()
+				.mayBegin(this.admitted.route(), this.admitted.remainingMs(now), times, now));
+		stopping.ifPresent((times) -> this.end.refuseInDrain("the router stops before the response is expected to end",
+				this.tried, times));
+		return stopping.isPresent();
+	}
+
 	private void connected(Either<ServerChannels.Unavailable, ServerChannel> result) {
 		if (result.isLeft()) {
 			this.crashes.notConnected(result.getLeft(), this.current.server());
@@ -243,7 +257,9 @@
 		if (this.end.ended()) {
 			return;
 		}
-		this.context.admission().answered(this.admitted.service(), (this.context.now() - send.sentAt()) / NANOS_PER_MS);
+		long now = this.context.now();
+		this.context.admission().answered(this.admitted.service(), (now - send.sentAt()) / NANOS_PER_MS);
+		this.context.drainAdmission().answered(this.admitted.route(), (now - this.startedAt) / NANOS_PER_MS);
 		endSends();
 		if (proved) {
 			this.crashes.completed(this.relay.status());
@@ -326,9 +342,12 @@
 	}
 
 	private void refuse(String reason) {
-		// A caller that came back during a quarantine would be refused again.
+		// A caller that came back during a quarantine, or to this router, would be
+		// refused
+		// again.
 		long quarantinedMs = (this.crashes != null) ? this.crashes.refusedForMs() : 0;
-		this.end.refuse(reason, this.tried, this.deadlineAt, this.slotFreeMs, quarantinedMs);
+		long drainMs = this.context.drainTimes().map((times) -> times.balancerLeftMs(this.context.now())).orElse(0L);
+		this.end.refuse(reason, this.tried, this.deadlineAt, this.slotFreeMs, Math.max(quarantinedMs, drainMs));
 	}
 
 	/**
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ExchangeEnd.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ExchangeEnd.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 
 import org.acaciamux.internal.coordination.direct.Admission;
+import org.acaciamux.internal.coordination.direct.DrainTimes;
 import org.acaciamux.internal.state.StableHash;
 
 /**
@@ -15,6 +16,14 @@
  */
 final class ExchangeEnd {
 
+	/**
+	 * Shortest and longest time, in milliseconds, after which a caller that can use
+	 * another router comes back, so that the callers of a router do not return at once.
+	 */
+	private static final long MIN_ELSEWHERE_MS = 200;
+
+	private static final long MAX_ELSEWHERE_MS = 500;
+
 	private static final long NANOS_PER_MS = 1_000_000;
 
 	private final DirectContext context;
@@ -63,8 +72,28 @@
 	 */
 	void refuse(String reason, Set<String> servers, long deadlineAt, long slotFreeMs, long earliestMs) {
 		long leftMs = (deadlineAt - this.context.now()) / NANOS_PER_MS;
-		double random = (StableHash.mix(this.startedAt) >>> 11) / (double) (1L << 53);
-		long ms = Math.max(earliestMs, Admission.retryAfterMs(slotFreeMs, leftMs, random));
+		refuse(reason, servers, Math.max(earliestMs, Admission.retryAfterMs(slotFreeMs, leftMs, random())));
+	}
+
+	/**
+	 * Answer that the request has not run because the router stops, with the time after
+	 * which another router gets it.
+	 * @param reason the reason for the log
+	 * @param servers ids of the servers to which it was sent, none of which has run it
+	 * @param times the times of the drain
+	 */
+	void refuseInDrain(String reason, Set<String> servers, DrainTimes times) {
+		long now = this.context.now();
+		long earliestMs = this.context.onlyRouter() ? times.leftMs(now) : times.balancerLeftMs(now);
+		long spreadMs = (long) (random() * (MAX_ELSEWHERE_MS - MIN_ELSEWHERE_MS));
+		refuse(reason, servers, Math.max(MIN_ELSEWHERE_MS, earliestMs) + spreadMs);
+	}
+
+	private double random() {
+		return (StableHash.mix(this.startedAt) >>> 11) / (double) (1L << 53);
+	}
+
+	private void refuse(String reason, Set<String> servers, long ms) {
 		record("refused", reason, servers);
 		this.caller.respond(HttpResponseStatus.SERVICE_UNAVAILABLE, OutgoingHeaders.retryAfter(ms),
 				Unpooled.EMPTY_BUFFER);
