End a drain before the platform kills the process

What callers saw: requests in progress at a router that was told to stop ended with a closed connection and no response. The log had no stopped and none of their lines.

Cause: the platform counts its grace time from SIGTERM and then kills the process. The drain counted from the moment at which the event loop ran it, so an event loop that was busy then moved the end of the drain, and what DrainAdmission takes for the time left, beyond the grace time. It also counted up to what had been read, so in a series of pauses each one moved the end.

Change: the time at which requests are ended counts from the signal and by the clock. After a pause the end waits for one pass of reading (10 ms) instead of a check in time. The time until the load balancer has stopped still counts from the start of the drain, which is when readiness changes, and up to what was read. stopped is written once.

Why it works: the signal is timed by the thread that handles it, which does not wait for the event loop. A task that is scheduled runs after the event loop has read its sockets, so a response that arrived in the pause is passed on first (PausedRouterTests). A signal that arrives while the process is stopped is handled after the pause; the process cannot tell when it was sent, and such a drain may still be cut.

--- a/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
@@ -74,6 +74,9 @@
 	 */
 	private static final long STOP_MARGIN_MS = 600;
 
+	/** Time in which the event loop reads all connections, in milliseconds. */
+	private static final long READ_PASS_MS = 10;
+
 	/** Largest number of prompt parts that are listed for operators. */
 	private static final int MAX_LISTED_PARTS = 64;
 
@@ -111,7 +114,10 @@
 
 	private boolean draining;
 
-	private long drainSince;
+	/** Whether the drain has timed out and waits for a last pass of reading. */
+	private boolean lastRead;
+
+	private boolean stopped;
 
 	/**
 	 * Create a router.
@@ -223,9 +229,11 @@
 	}
 
 	private void schedule(long ms, Runnable task) {
-		this.loop.scheduleWithFixedDelay(
-				new GuardedTask(task, (ex) -> this.log.line("event=periodic-task-failed reason=\"" + ex + "\"")), ms,
-				ms, TimeUnit.MILLISECONDS);
+		this.loop.scheduleWithFixedDelay(guarded(task), ms, ms, TimeUnit.MILLISECONDS);
+	}
+
+	private Runnable guarded(Runnable task) {
+		return new GuardedTask(task, (ex) -> this.log.line("event=periodic-task-failed reason=\"" + ex + "\""));
 	}
 
 	private void exchangeState() {
@@ -305,7 +313,7 @@
 	 * Stop the router gracefully: it is not ready from now on, finishes the requests in
 	 * progress, and closes idle connections when the load balancer has stopped sending
 	 * requests. The action runs when all requests have ended or the drain timeout has
-	 * passed.
+	 * passed since the call.
 	 * @param whenDone the action, which ends the process
 	 */
 	public void drain(Runnable whenDone) {
@@ -315,38 +323,57 @@
 				return;
 			}
 			this.draining = true;
-			this.drainSince = this.clock.nanoTime();
+			long drainSince = this.clock.nanoTime();
+			// The load balancer sees the drain from now on; the platform counts from the
+			// signal.
 			DrainTimes times = new DrainTimes(signalledAt,
-					this.drainSince + TimeUnit.MILLISECONDS.toNanos(STOP_ACCEPTING_AFTER_MS),
-					this.drainSince + TimeUnit.MILLISECONDS.toNanos(this.settings.drainTimeoutMs() - STOP_MARGIN_MS));
+					drainSince + TimeUnit.MILLISECONDS.toNanos(STOP_ACCEPTING_AFTER_MS),
+					signalledAt + TimeUnit.MILLISECONDS.toNanos(this.settings.drainTimeoutMs() - STOP_MARGIN_MS));
 			this.log.line("event=drain-started inFlight=" + this.context.inFlight() + " connections="
-					+ this.frontend.connections() + " lateMs=" + times.elapsedMs(this.drainSince) + " stopInMs="
-					+ times.leftMs(this.drainSince));
+					+ this.frontend.connections() + " lateMs=" + times.elapsedMs(drainSince) + " stopInMs="
+					+ times.leftMs(drainSince));
 			this.context.drain(times);
-			schedule(TICK_INTERVAL_MS, () -> checkDrained(whenDone));
+			schedule(TICK_INTERVAL_MS, () -> checkDrained(times, whenDone));
 		});
 	}
 
-	private void checkDrained(Runnable whenDone) {
-		// Requests and responses that arrived in a pause are read before anything ends.
-		long drainMs = (this.context.readUntil() - this.drainSince) / 1_000_000;
-		if (drainMs < STOP_ACCEPTING_AFTER_MS) {
+	private void checkDrained(DrainTimes times, Runnable whenDone) {
+		if (this.stopped) {
 			return;
 		}
-		this.frontend.stopAccepting();
-		boolean timedOut = drainMs > this.settings.drainTimeoutMs() - STOP_MARGIN_MS;
-		int inFlight = this.context.inFlight();
-		if (timedOut) {
-			this.context.stopAll();
-			this.frontend.logUnserved();
+		long readUntil = this.context.readUntil();
+		if (this.lastRead || times.leftMs(readUntil) <= 0) {
+			end(times, whenDone);
+		}
+		else if (times.leftMs(this.clock.nanoTime()) <= 0) {
+			// Waits for one pass of reading, not for the end of a series of pauses.
+			this.lastRead = true;
+			this.loop.schedule(guarded(() -> checkDrained(times, whenDone)), READ_PASS_MS, TimeUnit.MILLISECONDS);
 		}
-		if (timedOut || (inFlight == 0 && this.frontend.connections() == 0)) {
-			this.log.line(
-					"event=stopped ms=" + drainMs + " cut=" + inFlight + " connections=" + this.frontend.connections());
-			this.directory.leave();
-			this.peers.leave();
-			this.loop.schedule(whenDone, TICK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+		// Requests that arrived in a pause are read before connections are closed.
+		else if (times.balancerLeftMs(readUntil) <= 0) {
+			this.frontend.stopAccepting();
+			if (this.context.inFlight() == 0 && this.frontend.connections() == 0) {
+				stopped(times, 0, whenDone);
+			}
 		}
 	}
 
+	private void end(DrainTimes times, Runnable whenDone) {
+		this.frontend.stopAccepting();
+		int inFlight = this.context.inFlight();
+		this.context.stopAll();
+		this.frontend.logUnserved();
+		stopped(times, inFlight, whenDone);
+	}
+
+	private void stopped(DrainTimes times, int cut, Runnable whenDone) {
+		this.stopped = true;
+		this.log.line("event=stopped ms=" + times.elapsedMs(this.clock.nanoTime()) + " cut=" + cut + " connections="
+				+ this.frontend.connections());
+		this.directory.leave();
+		this.peers.leave();
+		this.loop.schedule(whenDone, TICK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+	}
+
 }
