Move the check before a send in a drain out of DirectExchange

DrainCheck holds the question for one request. No change of behaviour: StreamBegunInADrainTests passes as before.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
@@ -12,7 +12,6 @@
 import org.acaciamux.internal.coordination.direct.AttemptPolicy;
 import org.acaciamux.internal.coordination.direct.AttemptPolicy.Decision;
 import org.acaciamux.internal.coordination.direct.CallerRequest;
-import org.acaciamux.internal.coordination.direct.DrainTimes;
 import org.acaciamux.internal.coordination.direct.Organisation;
 import org.acaciamux.internal.coordination.direct.ResponsePolicy;
 import org.acaciamux.internal.coordination.direct.SendResult;
@@ -65,6 +64,8 @@
 
 	private ResponseRelay relay;
 
+	private DrainCheck drain;
+
 	private long slotFreeMs;
 
 	private long deadlineAt;
@@ -112,6 +113,7 @@
 		this.context.budgets().recordRequest(service);
 		this.policy = new AttemptPolicy(route);
 		this.relay = new ResponseRelay(this.caller, route, this.context.heldBytes());
+		this.drain = new DrainCheck(this.context, this.admitted, this.policy, this.relay);
 		this.crashes = new CrashHistory(this.context, request, organisation, this.body);
 		this.hold = new SuspectHold(this.context, this.crashes);
 		this.takeover = new ServerTakeover(this.context, this.admitted, this.policy, this.crashes, this);
@@ -147,17 +149,12 @@
 		return decision != SuspectHold.Decision.SEND;
 	}
 
-	// Returns whether the request is refused, because it would be cut when the router
-	// stops.
+	// Returns whether the request has ended, because the router stops too soon.
 	private boolean stoppedByDrain() {
-		long now = this.context.now();
-		Optional<DrainTimes> stopping = this.context.drainTimes()
-			.filter((times) -> this.policy.giveUp(relayStarted()) == Decision.REFUSE)
-			.filter((times) -> !this.context.drainAdmission()
-				.mayBegin(this.admitted.route(), this.admitted.remainingMs(now), times, now));
-		stopping.ifPresent((times) -> this.end.refuseInDrain("the router stops before the response is expected to end",
-				this.tried, times));
-		return stopping.isPresent();
+		Optional<Decision> ending = this.drain.ending();
+		ending.ifPresent((decision) -> this.end.refuseInDrain("the router stops before the response is expected to end",
+				this.tried, this.context.drainTimes().orElseThrow()));
+		return ending.isPresent();
 	}
 
 	private void connected(Either<ServerChannels.Unavailable, ServerChannel> result) {
