Ask again before a send whether a draining router can finish it

What callers saw: a request that may run once got 502 when its router stopped, although it reached its server only 0.6 s before.

Cause: the drain was asked about before a connection to the server was opened, which takes up to 600 ms and as long as the event loop is busy, or before the drain began, but not when the request was sent.

Evidence: UnfinishedWorkInADrainTests#requestIsNotSentIfItsConnectionOpensTooLate failed before: 502 instead of 503. Its other three cases passed before: requests behind one that is cut get 503, all requests read ahead get a response, and an upload that is complete late is refused.

Change: the check is repeated when the connection is open. The request gets 503, and the connection is kept for another one.

Why it works: no byte of the request has been sent by then, so 503 is true.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
@@ -175,6 +175,12 @@
 			giveUp("servers crashed while a connection was opened");
 			return;
 		}
+		if (this.drain.ending().isPresent()) {
+			this.context.channels().release(result.get());
+			endSends();
+			stoppedByDrain();
+			return;
+		}
 		transmit(this.current, result.get());
 	}
 
