Do not repeat a stream that a draining router cannot finish

What callers saw: a resumable stream whose first server answered 500 in a drain began with status 200 at another server 0.7 s before the router stopped, and its connection closed without its end.

Cause: the drain was asked about only as long as the request had not run anywhere.

Change: a stream that may have run and has not begun is sent again if the last requests of its route, at least a second, took less than the time left, or if its time limit passes in time. Otherwise it gets 502 with the close announced.

Why it works: 502 is a final response, and a first send that failed is known to the caller at once. The load balancer is not asked, because the request would fail instead of being served by another router. Streams that have begun are resumed as before, and requests without a stream are repeated as before, because both lose nothing by it.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/DrainAdmission.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/DrainAdmission.java
@@ -24,9 +24,10 @@
 	private static final double EXPECTED_QUANTILE = 0.9;
 
 	/**
-	 * Duration in milliseconds that is expected at least of requests other than streams.
+	 * Duration in milliseconds that is expected at least of requests other than streams,
+	 * and of streams that are sent again.
 	 */
-	private static final long MIN_PLAIN_MS = 1_000;
+	private static final long MIN_LIKELY_MS = 1_000;
 
 	/** Routes whose durations are kept; those that were not used are dropped first. */
 	private static final int MAX_ROUTES = 512;
@@ -60,18 +61,32 @@
 	 * @return whether it is expected to end before the router stops
 	 */
 	public boolean mayBegin(ServiceRoute route, long limitMs, DrainTimes drain, long now) {
-		long expectedMs = route.streaming() ? streamMs(route, limitMs, drain.balancerLeftMs(now) > 0) : plainMs(route);
+		long expectedMs = route.streaming() ? streamMs(route, limitMs, drain.balancerLeftMs(now) > 0) : likelyMs(route);
 		return Math.min(limitMs, expectedMs) < drain.leftMs(now);
 	}
 
+	/**
+	 * Decide whether a stream that has not begun is sent again after it may have run. It
+	 * fails otherwise, so it is sent if its route's last requests took less than the time
+	 * left, whatever the load balancer does.
+	 * @param route its route
+	 * @param limitMs milliseconds until its time limit
+	 * @param drain the times of the drain
+	 * @param now the monotonic time in nanoseconds
+	 * @return whether it is likely to end before the router stops
+	 */
+	public boolean mayRepeat(ServiceRoute route, long limitMs, DrainTimes drain, long now) {
+		return Math.min(limitMs, likelyMs(route)) < drain.leftMs(now);
+	}
+
 	private long streamMs(ServiceRoute route, long limitMs, boolean balanced) {
 		Durations known = this.durations.get(route.name());
 		return (balanced && known != null && known.count >= MIN_STREAMS) ? known.expectedMs() : limitMs;
 	}
 
-	private long plainMs(ServiceRoute route) {
+	private long likelyMs(ServiceRoute route) {
 		Durations known = this.durations.get(route.name());
-		return (known != null) ? Math.max(MIN_PLAIN_MS, known.expectedMs()) : MIN_PLAIN_MS;
+		return (known != null) ? Math.max(MIN_LIKELY_MS, known.expectedMs()) : MIN_LIKELY_MS;
 	}
 
 	private static final class Durations {
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
@@ -152,8 +152,15 @@
 	// Returns whether the request has ended, because the router stops too soon.
 	private boolean stoppedByDrain() {
 		Optional<Decision> ending = this.drain.ending();
-		ending.ifPresent((decision) -> this.end.refuseInDrain("the router stops before the response is expected to end",
-				this.tried, this.context.drainTimes().orElseThrow()));
+		ending.ifPresent((decision) -> {
+			String reason = "the router stops before the response is expected to end";
+			if (decision == Decision.REFUSE) {
+				this.end.refuseInDrain(reason, this.tried, this.context.drainTimes().orElseThrow());
+			}
+			else {
+				conclude(decision, reason);
+			}
+		});
 		return ending.isPresent();
 	}
 
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DrainCheck.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DrainCheck.java
@@ -4,6 +4,8 @@
 
 import org.acaciamux.internal.coordination.direct.AttemptPolicy;
 import org.acaciamux.internal.coordination.direct.AttemptPolicy.Decision;
+import org.acaciamux.internal.coordination.direct.DrainTimes;
+import org.acaciamux.internal.coordination.direct.ServiceRoute;
 
 /**
  * Decides how one request ends instead of being sent by a router that stops before the
@@ -33,15 +35,36 @@
 	 */
 	Optional<Decision> ending() {
 		Decision decision = this.policy.giveUp(this.relay.started());
-		return (decision != Decision.REFUSE || mayBegin()) ? Optional.empty() : Optional.of(decision);
+		boolean sent = switch (decision) {
+			case REFUSE -> expected(this.context.drainAdmission()::mayBegin);
+			case FAIL -> mayRepeat();
+			default -> true;
+		};
+		return sent ? Optional.empty() : Optional.of(decision);
 	}
 
-	private boolean mayBegin() {
+	/**
+	 * Return whether another server may run the request, which may have run before. A
+	 * response that has begun goes on as long as the router runs, and a request without a
+	 * stream gets a final response in any case.
+	 * @return whether it may
+	 */
+	boolean mayRepeat() {
+		return this.relay.started() || !this.admitted.route().streaming()
+				|| expected(this.context.drainAdmission()::mayRepeat);
+	}
+
+	private boolean expected(Question question) {
 		long now = this.context.now();
 		return this.context.drainTimes()
-			.map((times) -> this.context.drainAdmission()
-				.mayBegin(this.admitted.route(), this.admitted.remainingMs(now), times, now))
+			.map((times) -> question.ask(this.admitted.route(), this.admitted.remainingMs(now), times, now))
 			.orElse(true);
 	}
 
+	private interface Question {
+
+		boolean ask(ServiceRoute route, long limitMs, DrainTimes times, long now);
+
+	}
+
 }
--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/DrainAdmissionTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/DrainAdmissionTests.java
@@ -102,6 +102,16 @@
 		assertFalse(mayBegin(this.plain, LIMIT_MS, STOP_MS - 2_000));
 	}
 
+	@Test
+	public void streamIsRepeatedIfItsRouteTakesLessThanTheTimeLeft() {
+		assertTrue(this.admission.mayRepeat(this.stream, LIMIT_MS, DRAIN, at(STOP_MS - 1_100)));
+		assertFalse(this.admission.mayRepeat(this.stream, LIMIT_MS, DRAIN, at(STOP_MS - 900)));
+		answered(this.stream, DrainAdmission.MIN_STREAMS, 3_000);
+		assertTrue(this.admission.mayRepeat(this.stream, LIMIT_MS, DRAIN, at(STOP_MS - 3_100)));
+		assertFalse(this.admission.mayRepeat(this.stream, LIMIT_MS, DRAIN, at(STOP_MS - 2_900)));
+		assertTrue(this.admission.mayRepeat(this.stream, 2_800, DRAIN, at(STOP_MS - 2_900)));
+	}
+
 	@Test
 	public void durationsAreKeptForALimitedNumberOfRoutes() {
 		for (int i = 0; i < 2_000; i++) {
