Do not move a stream that a draining router cannot finish

What callers saw: a resumable stream whose server was silent was moved to another server 0.7 s before the router stopped, began there with status 200, and its connection closed without its end.

Cause: ServerTakeover did not ask about the drain.

Evidence: UnfinishedWorkInADrainTests#streamOfASilentServerIsNotTakenOverBeforeItBeganIfItCannotEnd failed before: 200 and the first event, then the connection closed, instead of 502.

Change: a stream that has not begun is moved in a drain under the condition under which it is repeated.

Why it works: the send to the silent server goes on, so the caller still gets what that server sends, and 502 when the router stops if it sends nothing. A stream that has begun is moved as before, since its caller has no final response to wait for.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
@@ -116,7 +116,7 @@
 		this.drain = new DrainCheck(this.context, this.admitted, this.policy, this.relay);
 		this.crashes = new CrashHistory(this.context, request, organisation, this.body);
 		this.hold = new SuspectHold(this.context, this.crashes);
-		this.takeover = new ServerTakeover(this.context, this.admitted, this.policy, this.crashes, this);
+		this.takeover = new ServerTakeover(this.context, this.admitted, this.policy, this.drain, this.crashes, this);
 		send();
 	}
 
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerTakeover.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ServerTakeover.java
@@ -42,6 +42,8 @@
 
 	private final AttemptPolicy policy;
 
+	private final DrainCheck drain;
+
 	private final CrashHistory crashes;
 
 	private final Host host;
@@ -54,14 +56,16 @@
 	 * @param context the shared components
 	 * @param admitted the request
 	 * @param policy decides whether it may run again
+	 * @param drain decides whether the router can still finish it
 	 * @param crashes the crashes of servers that were running it
 	 * @param host the request
 	 */
-	ServerTakeover(DirectContext context, AdmittedRequest admitted, AttemptPolicy policy, CrashHistory crashes,
-			Host host) {
+	ServerTakeover(DirectContext context, AdmittedRequest admitted, AttemptPolicy policy, DrainCheck drain,
+			CrashHistory crashes, Host host) {
 		this.context = context;
 		this.admitted = admitted;
 		this.policy = policy;
+		this.drain = drain;
 		this.crashes = crashes;
 		this.host = host;
 	}
@@ -116,7 +120,7 @@
 
 	private boolean mayRunElsewhere() {
 		return this.host.continuable() && this.policy.allowsAnotherRun() && !this.crashes.refused()
-				&& this.crashes.allowsResend(SendResult.SILENT) && !this.crashes.mustWait();
+				&& this.crashes.allowsResend(SendResult.SILENT) && !this.crashes.mustWait() && this.drain.mayRepeat();
 	}
 
 	private Optional<ServerState> choose(Set<String> tried) {
