Let DrainCheck end a request that is not sent in a drain

No change of behaviour: the cases of UnfinishedWorkInADrainTests and StreamBegunInADrainTests that reach the check pass as before.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
@@ -113,7 +113,7 @@
 		this.context.budgets().recordRequest(service);
 		this.policy = new AttemptPolicy(route);
 		this.relay = new ResponseRelay(this.caller, route, this.context.heldBytes());
-		this.drain = new DrainCheck(this.context, this.admitted, this.policy, this.relay);
+		this.drain = new DrainCheck(this.context, this.admitted, this.policy, this.relay, this.end);
 		this.crashes = new CrashHistory(this.context, request, organisation, this.body);
 		this.hold = new SuspectHold(this.context, this.crashes);
 		this.takeover = new ServerTakeover(this.context, this.admitted, this.policy, this.drain, this.crashes, this);
@@ -125,7 +125,7 @@
 			giveUp("the time limit has passed");
 			return;
 		}
-		if (stoppedByCrashes(this::send) || stoppedByDrain()) {
+		if (stoppedByCrashes(this::send) || this.drain.end(this.tried)) {
 			return;
 		}
 		Either<ServerChoice.None, ServerState> chosen = ServerChoice.choose(this.context, this.admitted, this.tried);
@@ -149,21 +149,6 @@
 		return decision != SuspectHold.Decision.SEND;
 	}
 
-	// Returns whether the request has ended, because the router stops too soon.
-	private boolean stoppedByDrain() {
-		Optional<Decision> ending = this.drain.ending();
-		ending.ifPresent((decision) -> {
-			String reason = "the router stops before the response is expected to end";
-			if (decision == Decision.REFUSE) {
-				this.end.refuseInDrain(reason, this.tried, this.context.drainTimes().orElseThrow());
-			}
-			else {
-				conclude(decision, reason);
-			}
-		});
-		return ending.isPresent();
-	}
-
 	private void connected(Either<ServerChannels.Unavailable, ServerChannel> result) {
 		if (result.isLeft()) {
 			this.crashes.notConnected(result.getLeft(), this.current.server());
@@ -185,7 +170,7 @@
 		if (this.drain.ending().isPresent()) {
 			this.context.channels().release(result.get());
 			endSends();
-			stoppedByDrain();
+			this.drain.end(this.tried);
 			return;
 		}
 		transmit(this.current, result.get());
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DrainCheck.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DrainCheck.java
@@ -1,6 +1,7 @@
 package org.acaciamux.internal.transport.http.direct;
 
 import java.util.Optional;
+import java.util.Set;
 
 import org.acaciamux.internal.coordination.direct.AttemptPolicy;
 import org.acaciamux.internal.coordination.direct.AttemptPolicy.Decision;
@@ -14,6 +15,8 @@
  */
 final class DrainCheck {
 
+	private static final String REASON = "the router stops before the response is expected to end";
+
 	private final DirectContext context;
 
 	private final AdmittedRequest admitted;
@@ -22,11 +25,15 @@
 
 	private final ResponseRelay relay;
 
-	DrainCheck(DirectContext context, AdmittedRequest admitted, AttemptPolicy policy, ResponseRelay relay) {
+	private final ExchangeEnd end;
+
+	DrainCheck(DirectContext context, AdmittedRequest admitted, AttemptPolicy policy, ResponseRelay relay,
+			ExchangeEnd end) {
 		this.context = context;
 		this.admitted = admitted;
 		this.policy = policy;
 		this.relay = relay;
+		this.end = end;
 	}
 
 	/**
@@ -43,6 +50,24 @@
 		return sent ? Optional.empty() : Optional.of(decision);
 	}
 
+	/**
+	 * End the request if it is not sent now.
+	 * @param servers ids of the servers to which it was sent
+	 * @return whether it has ended
+	 */
+	boolean end(Set<String> servers) {
+		Optional<Decision> ending = ending();
+		ending.ifPresent((decision) -> {
+			if (decision == Decision.REFUSE) {
+				this.end.refuseInDrain(REASON, servers, this.context.drainTimes().orElseThrow());
+			}
+			else {
+				this.end.fail(REASON, servers, this.admitted.deadlineAt());
+			}
+		});
+		return ending.isPresent();
+	}
+
 	/**
 	 * Return whether another server may run the request, which may have run before. A
 	 * response that has begun goes on as long as the router runs, and a request without a
