Refuse requests at the stop that wait for a configuration

What callers saw: of 20 requests that were sent one behind the other to a draining router without a configuration, 12 got 503. The others had been read and had no response when the process was ready to end.

Cause: each of them waited for a configuration for 500 ms, also when the router stopped within that time. The stop ends the request that waits, and the next one began to wait.

Evidence: UnfinishedWorkInADrainTests#requestsThatWaitForAConfigurationAreAnsweredWhenTheRouterStops failed before: 12 instead of 20 responses.

Change: a request does not wait for a configuration if the router stops within the longest wait.

Why it works: a request that the stop would end gets its 503 on arrival, so those behind it follow in the same turn.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
@@ -96,9 +96,17 @@
 			return;
 		}
 		this.deadlineAt = this.startedAt + START_WAIT_MS * NANOS_PER_MS;
+		if (stopsWithin(START_WAIT_MS)) {
+			refuse("no configuration or no backend server is known, and the router stops");
+			return;
+		}
 		this.context.addWaiting(this);
 	}
 
+	private boolean stopsWithin(long ms) {
+		return this.context.drainTimes().filter((times) -> times.leftMs(this.startedAt) < ms).isPresent();
+	}
+
 	void start() {
 		RequestLookup.find(this.context.format(), this.context.config().orElseThrow(), this.head, this.log)
 			.peekLeft((invalid) -> this.end.respond(invalid.status(), invalid.outcome(), invalid.reason(), this.tried))
