Leave failures out of the durations of a route

What callers saw: after 64 streams of a route had ended at once with 422, a draining router began one of 4 s, which it cut.

Cause: the durations by which a draining router decides whether a stream ends in time included responses that are no streams.

Evidence: UnfinishedWorkInADrainTests#streamIsNotBegunBecauseInvalidOnesOfItsRouteEndedSoon failed before: 200 and the first event, then the connection closed, instead of 503.

Change: only successes are recorded.

Why it works: the durations are those of streams that came to their end.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/DrainAdmission.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/DrainAdmission.java
@@ -44,7 +44,7 @@
 	};
 
 	/**
-	 * Record a request that was answered.
+	 * Record a request that succeeded. Failures tell nothing about how long it takes.
 	 * @param route its route
 	 * @param ms milliseconds from its arrival to the end of its response
 	 */
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
@@ -7,6 +7,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.vavr.control.Either;
 
 import org.acaciamux.internal.coordination.direct.AttemptPolicy;
@@ -262,7 +263,9 @@
 		}
 		long now = this.context.now();
 		this.context.admission().answered(this.admitted.service(), (now - send.sentAt()) / NANOS_PER_MS);
-		this.context.drainAdmission().answered(this.admitted.route(), (now - this.startedAt) / NANOS_PER_MS);
+		if (HttpStatusClass.SUCCESS.contains(this.relay.status())) {
+			this.context.drainAdmission().answered(this.admitted.route(), (now - this.startedAt) / NANOS_PER_MS);
+		}
 		endSends();
 		if (proved) {
 			this.crashes.completed(this.relay.status());
