Handle SIGTERM before the ports are bound

Callers of a router that got SIGTERM right after its start saw their connection reset: the port accepted them, but the handler of the signal was installed only after all ports had been bound, so the default action of the JVM ended the process with exit code 143.

The handler is installed before the start. A signal that comes meanwhile is kept, and the drain begins when the node has started, so that callers that were accepted are answered as in any other drain. A signal before the JVM has reached the handler still ends the process at once; no port is bound then.

--- a/server/src/main/java/org/acaciamux/internal/process/Daemon.java
+++ b/server/src/main/java/org/acaciamux/internal/process/Daemon.java
@@ -16,12 +16,16 @@
 
 /**
  * Runs one node as the daemon: prints its ports, drains on the first SIGTERM and ends at
- * once on the second. Thread-safe.
+ * once on the second. Invariants: signals are handled before a port is bound, so that no
+ * accepted caller is cut by the default action; the drain begins once, when the node has
+ * started and a signal has arrived. Thread-safe.
  */
 public final class Daemon {
 
 	private final AtomicBoolean stopping = new AtomicBoolean();
 
+	private final AtomicBoolean drainBegun = new AtomicBoolean();
+
 	private volatile Node node;
 
 	/**
@@ -46,12 +50,6 @@
 		if (settings.isLeft()) {
 			return reportProblems(file, settings.getLeft());
 		}
-		return Acaciamux.start(settings.get())
-			.fold(Daemon::reportStartFailure, (started) -> announce(settings.get(), started));
-	}
-
-	private ExitCode announce(NodeSettings settings, Node started) {
-		this.node = started;
 		try {
 			ProcessSignal.onEach(this::onSignal, "TERM", "INT");
 		}
@@ -59,11 +57,18 @@
 			EventLog.log(ProcessEvent.START_FAILED, ex, "this JVM does not let the daemon handle SIGTERM");
 			return ExitCode.INTERNAL_ERROR;
 		}
+		return Acaciamux.start(settings.get())
+			.fold(Daemon::reportStartFailure, (started) -> announce(settings.get(), started));
+	}
+
+	private ExitCode announce(NodeSettings settings, Node started) {
 		EventLog.log(ProcessEvent.STARTED, settings.role().text(), settings.id(), settings.failureDomain(),
 				started.httpPort(), started.peerPort(), started.adminPort());
 		System.out.printf("ready {\"id\":\"%s\",\"httpPort\":%d,\"peerPort\":%d,\"adminPort\":%d}%n", settings.id(),
 				started.httpPort(), started.peerPort(), started.adminPort());
 		System.out.flush();
+		this.node = started;
+		drainIfDue();
 		return ExitCode.CLEAN;
 	}
 
@@ -73,7 +78,13 @@
 			ExitCode.SECOND_SIGTERM.halt();
 			return;
 		}
-		new Thread(this::drainAndExit, "acaciamux-drain").start();
+		drainIfDue();
+	}
+
+	private void drainIfDue() {
+		if (this.node != null && this.stopping.get() && this.drainBegun.compareAndSet(false, true)) {
+			new Thread(this::drainAndExit, "acaciamux-drain").start();
+		}
 	}
 
 	private void drainAndExit() {
