Let a leaving agent stay until routers know that it leaves

A request could end with an unknown outcome although it had never run: an agent without work exited a few milliseconds after SIGTERM, before routers could learn that it leaves. A request that was on its way to it then found a closed connection, and a router can't tell that from a request that ran: by reading of LinkRecovery it answers 502 and may not use another agent.

Evidence: UnansweredSubmitTests sends SIGTERM to an idle agent process and a request 1 s later over a link that was open before. Before: the connection was closed without a refusal ("expected [Optional[draining]] but found [Optional.empty]"). Now it is refused with draining, not run.

The drain of an agent lasts at least 2.7 s: an exchange among the agents, which now takes place at once, and the longest interval of the routers' pool views in pools of up to 64 members. Until then requests are refused as not run, and routers send them elsewhere. Routers of larger pools ask less often and may still be unaware when the agent ends.

--- a/server/src/main/java/org/acaciamux/internal/process/AgentRuntime.java
+++ b/server/src/main/java/org/acaciamux/internal/process/AgentRuntime.java
@@ -44,8 +44,17 @@
 
 	private static final long HANDOVER_TIMEOUT_MS = 5_000;
 
+	/**
+	 * Time in milliseconds in which routers learn that the agent leaves: the longest
+	 * interval of their pool views and one exchange between agents. Until then their
+	 * requests are refused as not run, while a closed port would leave them unknown.
+	 */
+	private static final long ANNOUNCE_MS = 2_700;
+
 	private static final long NOT_STARTED = -1;
 
+	private final AtomicLong drainStartedMs = new AtomicLong(NOT_STARTED);
+
 	private final AtomicLong handoverDeadlineMs = new AtomicLong(NOT_STARTED);
 
 	private final ProcessCore core;
@@ -177,7 +186,9 @@
 
 	@Override
 	public void beginDrain() {
+		this.drainStartedMs.compareAndSet(NOT_STARTED, this.core.nowMs());
 		this.service.drain();
+		this.exchange.soon();
 		this.ownership.drain();
 		this.orders.drain();
 	}
@@ -189,6 +200,9 @@
 		if (progress.draining() && progress.done() && waitsForHandover()) {
 			return List.of("partitions to be handed over");
 		}
+		if (progress.draining() && progress.done() && isAnnouncing()) {
+			return List.of("routers to learn that the agent leaves");
+		}
 		if (progress.done() || (!progress.draining() && idle)) {
 			return List.of();
 		}
@@ -196,6 +210,10 @@
 				+ " unsent, " + progress.transfers() + " cache transfers, oldest " + progress.oldestMs() + " ms");
 	}
 
+	private boolean isAnnouncing() {
+		return this.core.nowMs() - this.drainStartedMs.get() < ANNOUNCE_MS;
+	}
+
 	private boolean waitsForHandover() {
 		// A handover only shortens the time in which a partition has no owner, and other
 		// agents can safely take over without it. The wait is limited, so that an outage
