--- a/server/src/main/java/org/acaciamux/internal/coordination/routing/RouterCall.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/routing/RouterCall.java
@@ -41,6 +41,8 @@
 
 	private final boolean keyed;
 
+	private final RetryRules retries;
+
 	private final long startedAt;
 
 	private final long deadlineAt;
@@ -83,6 +85,7 @@
 		this.request = request;
 		this.pool = pool;
 		this.keyed = keyed;
+		this.retries = new RetryRules(shared, keyed);
 		this.trials = trials;
 		this.sink = sink;
 		this.trace = trace;
@@ -235,46 +238,23 @@
 		step("agent %s refused: %s, load %d of %d, %d queued", this.trial.agent(), refused.getFailureCode(),
 				refused.getLoad(), refused.getLimit(), refused.getQueued());
 		this.currentTrialMayHaveRun = refused.getOutcome() != WireOutcome.OUTCOME_NOT_RUN;
-		FailureCode code = code(refused.getFailureCode());
+		FailureCode code = WireFailures.code(refused.getFailureCode());
 		if (refused.getRetryAfterMs() > 0) {
 			this.retryAfterMs = refused.getRetryAfterMs();
 		}
-		if (mayTryNext(code, refused)) {
+		if (this.retries.mayTryNext(code, refused, this.currentTrialMayHaveRun, this.planned.last())) {
 			this.earlierTrialMayHaveRun = this.earlierTrialMayHaveRun || this.currentTrialMayHaveRun;
 			this.trials.redirected(refused);
 			nextTrial();
 			return;
 		}
-		fail(new Failure(code, outcome(refused.getOutcome()), refused.getDetail(), refused.getRetryAfterMs()));
-	}
-
-	/**
-	 * Decide whether to try another agent after a refusal. Counts a redirect, except of a
-	 * suspect request. A retry without a redirect is taken from the retry budget, and
-	 * denied if that is used up.
-	 * @param code the code of the refusal
-	 * @param refused the agent's answer
-	 * @return whether the next trial follows
-	 */
-	private boolean mayTryNext(FailureCode code, Refused refused) {
-		if (code == FailureCode.REQUEST_QUARANTINED) {
-			return false;
-		}
-		if (code == FailureCode.REQUEST_SUSPECT) {
-			return refused.getRedirect() && !this.currentTrialMayHaveRun && !this.keyed
-					&& !refused.getOwner().isEmpty();
-		}
-		if (refused.getRedirect() && (!this.currentTrialMayHaveRun || code == FailureCode.NOT_OWNER)) {
-			this.shared.metrics().count(Count.REDIRECTS);
-			return true;
-		}
-		boolean onlyThisServer = code == FailureCode.BACKEND_DOWN || code == FailureCode.DRAINING;
-		return onlyThisServer && !this.currentTrialMayHaveRun && !this.keyed && !this.planned.last() && retryAllowed();
+		fail(new Failure(code, WireFailures.outcome(refused.getOutcome()), refused.getDetail(),
+				refused.getRetryAfterMs()));
 	}
 
 	void onProvedNotRun() {
 		this.currentTrialMayHaveRun = false;
-		if (!retryAllowed()) {
+		if (!this.retries.allowed()) {
 			fail(ownFailure(FailureCode.AGENT_UNREACHABLE,
 					"The request did not reach the agent and the retry budget is "
 							+ "used up; send it again after the delay."));
@@ -284,12 +264,6 @@
 		nextTrial();
 	}
 
-	private boolean retryAllowed() {
-		boolean allowed = this.shared.budget().tryRetry();
-		this.shared.metrics().count(allowed ? Count.RETRIES : Count.RETRIES_DENIED);
-		return allowed;
-	}
-
 	void onResponseStarted(ResponseHead head) {
 		this.shared.metrics().head(this.shared.now() - this.startedAt);
 		if (!head.getReplayed() && !head.getServer().isEmpty()) {
@@ -315,8 +289,8 @@
 	}
 
 	void failedByAgent(End end) {
-		fail(new Failure(code(end.getFailureCode()), outcome(end.getOutcome()), end.getDetail(),
-				this.shared.settings().retryAfterMs()));
+		fail(new Failure(WireFailures.code(end.getFailureCode()), WireFailures.outcome(end.getOutcome()),
+				end.getDetail(), this.shared.settings().retryAfterMs()));
 	}
 
 	void cancelAndFail(FailureCode code, String detail) {
@@ -397,16 +371,4 @@
 		this.state = "request " + idText() + " " + verb + " agent " + this.planned.member().id();
 	}
 
-	private static FailureCode code(String text) {
-		return FailureCode.of(text).orElse(FailureCode.PROTOCOL_ERROR);
-	}
-
-	private static Outcome outcome(WireOutcome outcome) {
-		return switch (outcome) {
-			case OUTCOME_ANSWERED -> Outcome.ANSWERED;
-			case OUTCOME_NOT_RUN -> Outcome.NOT_RUN;
-			default -> Outcome.UNKNOWN;
-		};
-	}
-
 }
