Answer what a drain's timeout would cut

With limits.drainTimeoutMs set, callers saw their connection close without an answer when the timeout passed: requests that an agent had not begun, requests that a router had queued at an agent, and requests of which a part had arrived. None of them had run, and nobody said so. An agent kept its queue until it ended, so routers could not use other agents.

One second before the timeout, at most half of it, an agent refuses its queue with a redirect. A router refuses incomplete requests, and cancels requests without a response: an agent that has them queued proves within 200 ms that they did not run; otherwise the outcome is unknown. Responses that have begun go on to the end. The clock of the timeout now starts before the drain's own work and not after it.

A request that its server would have answered in the last second gets 504 instead. Without a timeout, the default, nothing changes.

--- a/examples/src/test/java/org/acaciamux/process/PeerConnection.java
+++ b/examples/src/test/java/org/acaciamux/process/PeerConnection.java
@@ -51,7 +51,28 @@
 	 */
 	Optional<Refused> submitUntilRefused(String pool) {
 		try {
-			send(submit(pool));
+			send(submit(pool, false));
+		}
+		catch (IOException ex) {
+			return Optional.empty();
+		}
+		return awaitRefusal();
+	}
+
+	/**
+	 * Send a request that the agent may queue.
+	 * @param pool the pool
+	 */
+	void submitAsLastTrial(String pool) throws IOException {
+		send(submit(pool, true));
+	}
+
+	/**
+	 * Read until a request is refused.
+	 * @return the refusal, or empty if the connection ends before
+	 */
+	Optional<Refused> awaitRefusal() {
+		try {
 			Frame frame = next();
 			while (!frame.hasRefused()) {
 				frame = next();
@@ -63,7 +84,7 @@
 		}
 	}
 
-	private static Frame submit(String pool) {
+	private static Frame submit(String pool, boolean last) {
 		Submit submit = Submit.newBuilder()
 			.setId(RequestId.newBuilder().setIncarnation(INCARNATION).setSequence(1))
 			.setPool(pool)
@@ -73,6 +94,7 @@
 			.setMethod("GET")
 			.setPath("/control/state")
 			.setInitialCredit(1 << 20)
+			.setFinalTrial(last)
 			.build();
 		return Frame.newBuilder().setSubmit(submit).build();
 	}
--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentDrain.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentDrain.java
@@ -1,11 +1,13 @@
 package org.acaciamux.internal.coordination.admission;
 
+import org.acaciamux.Failure;
+import org.acaciamux.FailureCode;
 import org.acaciamux.internal.event.EventLog;
 
 /**
  * Drains an agent: refuses new work, finishes accepted work, and hands the chat caches
- * over to other agents. Invariant: a drain never interrupts work accepted before it.
- * Thread-safe.
+ * over to other agents. Invariant: a drain never interrupts work that runs; queued work
+ * is refused only if the process ends before its turn. Thread-safe.
  */
 final class AgentDrain {
 
@@ -46,6 +48,18 @@
 		});
 	}
 
+	void refuseQueued() {
+		this.core.update((effects) -> {
+			Failure failure = Failure.notRun(FailureCode.DRAINING,
+					"The agent ends before the request's turn; send the request to another server",
+					this.core.admission().retryAfterMs(this.core.nowMs()));
+			this.core.admission()
+				.clearQueue()
+				.forEach(
+						(request) -> this.core.refuse(request, Refusal.redirect(failure).withProvableOutcome(request)));
+		});
+	}
+
 	void tick() {
 		int transfers = this.handover.pending();
 		this.core.update((effects) -> {
--- a/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentService.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/admission/AgentService.java
@@ -262,6 +262,14 @@
 		this.drain.begin();
 	}
 
+	/**
+	 * Refuse the queued requests as not run, so that routers can use other agents before
+	 * this one ends.
+	 */
+	public void refuseQueued() {
+		this.drain.refuseQueued();
+	}
+
 	/**
 	 * Return what the drain waits for.
 	 * @return the progress; the process may stop once it is done
--- a/server/src/main/java/org/acaciamux/internal/coordination/routing/RequestRouter.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/routing/RequestRouter.java
@@ -158,6 +158,13 @@
 		}
 	}
 
+	/**
+	 * Answer the requests whose response has not begun, because the process ends soon.
+	 */
+	public void refuseUnanswered() {
+		this.table.all().forEach(RouterCall::refuseUnanswered);
+	}
+
 	/**
 	 * Return the number of requests that a drain waits for.
 	 * @return the requests in flight, at least 0
--- a/server/src/main/java/org/acaciamux/internal/coordination/routing/RouterCall.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/routing/RouterCall.java
@@ -25,6 +25,12 @@
  */
 final class RouterCall implements RoutedCall {
 
+	/**
+	 * Time in milliseconds in which the agent of a cancelled request may prove that it
+	 * did not run.
+	 */
+	private static final long PROOF_LIMIT_MS = 200;
+
 	private final CallTasks tasks = new CallTasks();
 
 	private final RouterShared shared;
@@ -64,6 +70,11 @@
 
 	private boolean ended;
 
+	/** Whether the process ends soon, so that no other trial may start. */
+	private boolean stopping;
+
+	private long stoppingAt;
+
 	/**
 	 * Whether the trial sent most recently may have run or may run later, as nothing
 	 * proves the opposite.
@@ -142,6 +153,25 @@
 		});
 	}
 
+	/**
+	 * Answer the request unless its response has begun. One that was sent is cancelled
+	 * first, because its agent can prove that it did not run if it is still queued.
+	 */
+	void refuseUnanswered() {
+		runSerially(() -> {
+			if (this.ended || this.stopping || responseStarted()) {
+				return;
+			}
+			this.stopping = true;
+			this.stoppingAt = this.shared.now();
+			if (this.trial == null) {
+				refuseStopping();
+				return;
+			}
+			this.trial.cancelAtAgent();
+		});
+	}
+
 	void runSerially(Runnable task) {
 		this.tasks.run(task);
 	}
@@ -178,6 +208,10 @@
 
 	private void nextTrial() {
 		endTrial(false);
+		if (this.stopping) {
+			refuseStopping();
+			return;
+		}
 		this.planned = this.trials.next().orElse(null);
 		if (this.planned == null) {
 			fail(ownFailure(this.trials.exhaustedCode(), this.trials.exhaustedDetail()));
@@ -238,6 +272,10 @@
 		step("agent %s refused: %s, load %d of %d, %d queued", this.trial.agent(), refused.getFailureCode(),
 				refused.getLoad(), refused.getLimit(), refused.getQueued());
 		this.currentTrialMayHaveRun = refused.getOutcome() != WireOutcome.OUTCOME_NOT_RUN;
+		if (this.stopping) {
+			refuseStopping();
+			return;
+		}
 		FailureCode code = WireFailures.code(refused.getFailureCode());
 		if (refused.getRetryAfterMs() > 0) {
 			this.retryAfterMs = refused.getRetryAfterMs();
@@ -298,8 +336,22 @@
 		fail(ownFailure(code, detail));
 	}
 
+	private boolean responseStarted() {
+		return this.trial != null && this.trial.started();
+	}
+
+	private void refuseStopping() {
+		boolean mayHaveRun = this.currentTrialMayHaveRun || this.earlierTrialMayHaveRun;
+		fail(ownFailure(mayHaveRun ? FailureCode.DEADLINE_EXCEEDED : FailureCode.DRAINING,
+				"This router ends before a response began; send the request again over a new connection."));
+	}
+
 	private void checkLimits() {
-		boolean started = this.trial != null && this.trial.started();
+		boolean started = responseStarted();
+		if (this.stopping && this.shared.passed(this.stoppingAt, PROOF_LIMIT_MS)) {
+			refuseStopping();
+			return;
+		}
 		long grace = (this.trial != null) ? this.shared.settings().deadlineGraceMs() : 0;
 		if (!started && this.shared.passed(this.deadlineAt, grace)) {
 			deadlinePassed();
@@ -337,7 +389,7 @@
 	}
 
 	private void fail(Failure failure) {
-		boolean started = this.trial != null && this.trial.started();
+		boolean started = responseStarted();
 		this.shared.metrics().failed(failure);
 		end(false, failure.code().code() + ", " + failure.outcome().headerValue());
 		if (started) {
--- a/server/src/main/java/org/acaciamux/internal/process/AgentRuntime.java
+++ b/server/src/main/java/org/acaciamux/internal/process/AgentRuntime.java
@@ -193,6 +193,11 @@
 		this.orders.drain();
 	}
 
+	@Override
+	public void refuseUnanswered() {
+		this.service.refuseQueued();
+	}
+
 	@Override
 	public List<String> waitingFor() {
 		DrainProgress progress = this.service.drainProgress();
--- a/server/src/main/java/org/acaciamux/internal/process/ProcessEvent.java
+++ b/server/src/main/java/org/acaciamux/internal/process/ProcessEvent.java
@@ -43,7 +43,10 @@
 	NOT_READY(7010, Level.WARNING, "not ready: %s"),
 
 	/** This VM leaves according to the VM list or another agent. */
-	TOLD_LEAVING(7011, Level.INFO, "this VM leaves according to the VM list or another agent; draining");
+	TOLD_LEAVING(7011, Level.INFO, "this VM leaves according to the VM list or another agent; draining"),
+
+	/** A drain is about to time out. */
+	DRAIN_REFUSES(7012, Level.WARNING, "the drain times out in %d ms; requests without a response are refused: %s");
 
 	private final int number;
 
--- a/server/src/main/java/org/acaciamux/internal/process/ProcessNode.java
+++ b/server/src/main/java/org/acaciamux/internal/process/ProcessNode.java
@@ -23,6 +23,12 @@
 
 	private static final int DRAIN_REPORT_MS = 5_000;
 
+	/**
+	 * Time at the end of a drain's timeout in which refusals reach their callers, in
+	 * milliseconds; at most half of the timeout.
+	 */
+	private static final int REFUSAL_MS = 1_000;
+
 	private final ProcessCore core;
 
 	private final RoleRuntime role;
@@ -119,9 +125,11 @@
 
 	@Override
 	public boolean drain() {
-		beginDrain();
 		long start = this.core.nowMs();
+		beginDrain();
 		long timeoutMs = this.core.settings.limits().drainTimeoutMs();
+		long refuseMs = Math.max(timeoutMs - REFUSAL_MS, timeoutMs / 2);
+		boolean refused = false;
 		long lastReport = start;
 		List<String> waiting = this.role.waitingFor();
 		while (!waiting.isEmpty()) {
@@ -131,6 +139,11 @@
 						"the timeout of " + timeoutMs + " ms passed; given up: " + waiting);
 				return false;
 			}
+			if (timeoutMs > 0 && !refused && now - start >= refuseMs) {
+				refused = true;
+				EventLog.log(ProcessEvent.DRAIN_REFUSES, timeoutMs - (now - start), waiting);
+				this.role.refuseUnanswered();
+			}
 			if (now - lastReport >= DRAIN_REPORT_MS) {
 				lastReport = now;
 				EventLog.log(ProcessEvent.DRAIN_WAITING, waiting);
--- a/server/src/main/java/org/acaciamux/internal/process/RoleRuntime.java
+++ b/server/src/main/java/org/acaciamux/internal/process/RoleRuntime.java
@@ -29,6 +29,12 @@
 	 */
 	void beginDrain();
 
+	/**
+	 * Answer requests that will not end before the drain does, as far as their callers
+	 * have no response yet: the process ends soon.
+	 */
+	void refuseUnanswered();
+
 	/**
 	 * Return what a drain still waits for.
 	 * @return one entry per item, empty when the drain is complete
--- a/server/src/main/java/org/acaciamux/internal/process/RouterRuntime.java
+++ b/server/src/main/java/org/acaciamux/internal/process/RouterRuntime.java
@@ -96,6 +96,12 @@
 		this.frontend.drain();
 	}
 
+	@Override
+	public void refuseUnanswered() {
+		this.router.refuseUnanswered();
+		this.frontend.refuseIncomplete();
+	}
+
 	@Override
 	public List<String> waitingFor() {
 		List<String> waiting = new ArrayList<>(this.router.waitingFor());
--- a/server/src/main/java/org/acaciamux/internal/transport/http/CallerConnection.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/CallerConnection.java
@@ -143,6 +143,10 @@
 		if (event == Drain.NOW && this.response == null && !this.readingRequest) {
 			schedule(READ_TURN_MS, ctx::close);
 		}
+		if (event == Drain.LAST && this.response == null && this.request != null && !this.discarding) {
+			refuse(FailureCode.DRAINING,
+					"This router ends before the request was complete; send it again over a new " + "connection.");
+		}
 	}
 
 	@Override
@@ -339,7 +343,9 @@
 	enum Drain {
 
 		/** The frontend has started to drain. */
-		NOW
+		NOW,
+		/** The process ends soon, so requests that are still arriving are refused. */
+		LAST
 
 	}
 
--- a/server/src/main/java/org/acaciamux/internal/transport/http/HttpFrontend.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/HttpFrontend.java
@@ -116,6 +116,13 @@
 		this.connections.newCloseFuture().addListener((future) -> drained.complete(null));
 	}
 
+	/**
+	 * Refuse requests of which only a part has arrived, because the process ends soon.
+	 */
+	public void refuseIncomplete() {
+		this.connections.forEach((channel) -> channel.pipeline().fireUserEventTriggered(CallerConnection.Drain.LAST));
+	}
+
 	/**
 	 * Return the number of open connections, which is reported during a drain.
 	 * @return the number, at least 0
