Move the writing of responses out of DirectCaller

Change: ResponseWriter frames the responses of one connection, marks the last one and closes after it. DirectCaller keeps the order of the requests. No change of behaviour.

Evidence: CallerConnectionEndTests and MessageFramingTests pass (41 tests).

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
@@ -4,32 +4,19 @@
 import java.util.concurrent.ThreadLocalRandom;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.TooLongFrameException;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 
-import org.acaciamux.internal.transport.http.LingeringClose;
-import org.acaciamux.internal.transport.http.ResetOnClose;
-
 /**
  * One connection of a caller. Invariants: requests are answered one at a time in the
  * order received; in a drain, those that have arrived before a response are answered
@@ -60,6 +47,8 @@
 
 	private Channel channel;
 
+	private ResponseWriter writer;
+
 	private HttpRequest head;
 
 	/** Null until the first head is complete. */
@@ -70,12 +59,6 @@
 
 	private DirectExchange exchange;
 
-	private boolean keepAlive = true;
-
-	private boolean supportsChunks;
-
-	private boolean headRequested;
-
 	private boolean closing;
 
 	private boolean unservedLogged;
@@ -90,6 +73,7 @@
 	@Override
 	public void handlerAdded(ChannelHandlerContext ctx) {
 		this.channel = ctx.channel();
+		this.writer = new ResponseWriter(this.channel, this::mayClose);
 		this.wait.begin(this.context.now(), false);
 	}
 
@@ -149,9 +133,7 @@
 		this.head = request;
 		this.maxBodyBytes = this.frontend.maxBodyBytes();
 		this.wait.headComplete(this.context.now());
-		this.keepAlive = HttpUtil.isKeepAlive(request);
-		this.headRequested = request.method().equals(HttpMethod.HEAD);
-		this.supportsChunks = request.protocolVersion().equals(HttpVersion.HTTP_1_1);
+		this.writer.request(request);
 		RequestFraming.problem(request).ifPresent((problem) -> refuseAndClose(HttpResponseStatus.BAD_REQUEST, problem));
 		if (this.closing) {
 			return;
@@ -163,8 +145,7 @@
 		}
 		this.body = new RequestBody(this.context.bodyBudget(), announced, this.maxBodyBytes, this::refuseBody);
 		if (HttpUtil.is100ContinueExpected(request)) {
-			this.channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
-					Unpooled.EMPTY_BUFFER));
+			this.writer.requestBody();
 		}
 	}
 
@@ -214,11 +195,7 @@
 		boolean written = false;
 		try {
 			this.frontend.unserved().refused(refused, status.code(), reason);
-			DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
-					Unpooled.EMPTY_BUFFER);
-			response.headers().set(headers);
-			response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0).set(HttpHeaderNames.CONNECTION, "close");
-			this.channel.writeAndFlush(response).addListener((sent) -> LingeringClose.start(this.channel));
+			this.writer.refuse(status, headers);
 			written = true;
 		}
 		finally {
@@ -241,11 +218,7 @@
 	 * @param content the body
 	 */
 	void respond(HttpResponseStatus status, HttpHeaders headers, ByteBuf content) {
-		DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content);
-		response.headers().set(headers);
-		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
-		boolean last = markIfLast(response);
-		finish(response, last);
+		finished(this.writer.respond(status, headers, content));
 	}
 
 	/**
@@ -254,22 +227,11 @@
 	 * @param headers its headers, without framing
 	 */
 	void startStream(HttpResponseStatus status, HttpHeaders headers) {
-		DefaultHttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status);
-		response.headers().set(headers);
-		response.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
-		if (this.supportsChunks) {
-			response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-		}
-		else {
-			this.keepAlive = false;
-			ResetOnClose.enable(this.channel);
-		}
-		markIfLast(response);
-		this.channel.write(response).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+		this.writer.startStream(status, headers);
 	}
 
 	void data(ByteBuf data) {
-		this.channel.writeAndFlush(new DefaultHttpContent(data)).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+		this.writer.data(data);
 	}
 
 	/**
@@ -277,15 +239,15 @@
 	 * @return whether it is
 	 */
 	boolean answersHead() {
-		return this.headRequested;
+		return this.writer.answersHead();
 	}
 
 	boolean writable() {
-		return this.channel.isWritable();
+		return this.writer.writable();
 	}
 
 	void endStream() {
-		finish(LastHttpContent.EMPTY_LAST_CONTENT, !this.keepAlive);
+		finished(this.writer.endStream());
 	}
 
 	/**
@@ -306,27 +268,9 @@
 		}
 	}
 
-	private boolean markIfLast(HttpResponse response) {
-		boolean unanswered = this.input.hasInput() || !this.readAhead.isEmpty();
-		boolean last = !this.keepAlive || this.context.draining() && !unanswered;
-		if (last) {
-			this.keepAlive = false;
-			response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-		}
-		return last;
-	}
-
-	private void finish(HttpObject end, boolean last) {
-		this.channel.writeAndFlush(end).addListener((written) -> {
-			if (!written.isSuccess()) {
-				this.channel.close();
-			}
-			else if (last && this.channel.isActive()) {
-				ResetOnClose.disable(this.channel);
-				LingeringClose.start(this.channel);
-			}
-		});
-		finished(last);
+	// Requests that have arrived in a drain are answered before the connection closes.
+	private boolean mayClose() {
+		return this.context.draining() && !this.input.hasInput() && this.readAhead.isEmpty();
 	}
 
 	private void finished(boolean last) {
