Log a complete response that the caller did not get

Callers saw: responses without their end, though the log of the router says "answered" with all bytes.

Cause: request-ended is written when the response of the server is complete. Its last bytes may still be in the write buffer, and nothing told what became of them.

Change: ResponseDelivery keeps the sizes of the writes that are not complete and the requests whose responses end with one of them; a write that completes at once leaves nothing behind. When the connection ends first, or the router stops, each such response has a line response-undelivered with the id of the request, the bytes and the cause, and counts in acaciamux.direct.undelivered-responses.

Ruled out: the bytes that netty's buffer holds. They are gone when a connection that the caller closed or reset tells of its end.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/CallerEnds.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/CallerEnds.java
@@ -40,7 +40,7 @@
 	}
 
 	/**
-	 * Why the router ends a connection.
+	 * Why a connection ends.
 	 */
 	enum Cause {
 
@@ -54,7 +54,13 @@
 		BROKEN_OFF("broken-off", false),
 
 		/** Reading or writing failed, or a handler of the router did. */
-		FAILED("failed", false);
+		FAILED("failed", false),
+
+		/** The process ends. */
+		STOPPED("stopped", false),
+
+		/** The caller closed it. */
+		CALLER_LEFT("caller-left", false);
 
 		private final String label;
 
@@ -65,6 +71,10 @@
 			this.unused = unused;
 		}
 
+		String label() {
+			return this.label;
+		}
+
 	}
 
 }
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
@@ -63,6 +63,9 @@
 
 	private boolean unservedLogged;
 
+	/** Why the router ended the connection, empty if it has not. */
+	private Optional<CallerEnds.Cause> endCause = Optional.empty();
+
 	DirectCaller(DirectContext context, DirectFrontend frontend, CallerInput input) {
 		this.context = context;
 		this.frontend = frontend;
@@ -195,7 +198,7 @@
 		boolean written = false;
 		try {
 			this.frontend.unserved().refused(refused, status.code(), reason);
-			this.writer.refuse(status, headers);
+			this.writer.refuse(refused, status, headers);
 			written = true;
 		}
 		finally {
@@ -260,6 +263,7 @@
 
 	private void end(CallerEnds.Cause cause, String reason) {
 		this.closing = true;
+		this.endCause = Optional.of(cause);
 		try {
 			this.frontend.ends().ended(cause, this.wait.ms(this.context.now()), this.readAhead.size(), reason);
 		}
@@ -336,11 +340,12 @@
 	}
 
 	/**
-	 * Log the requests that were read and will not be served. Has no effect if they have
-	 * been logged.
-	 * @param reason why they are not
+	 * Log the requests that were read and will not be served, and the responses that are
+	 * not written. Has no effect if they have been logged.
+	 * @param cause why, unless the router has ended the connection before
+	 * @param reason the details
 	 */
-	void logUnserved(String reason) {
+	void logUnserved(CallerEnds.Cause cause, String reason) {
 		if (this.unservedLogged) {
 			return;
 		}
@@ -349,12 +354,16 @@
 			this.frontend.unserved().incomplete(this.head, (this.body != null) ? this.body.length() : 0, reason);
 		}
 		this.readAhead.requests().forEach((request) -> this.frontend.unserved().dropped(request, reason));
+		ResponseDelivery delivery = this.writer.delivery();
+		String detail = delivery.failure().map(Throwable::toString).orElse(reason);
+		CallerEnds.Cause ended = this.endCause.orElse(delivery.failure().isPresent() ? CallerEnds.Cause.FAILED : cause);
+		delivery.unwritten((request, bytes) -> this.frontend.unserved().undelivered(request, bytes, ended, detail));
 	}
 
 	@Override
 	public void channelInactive(ChannelHandlerContext ctx) {
 		try {
-			logUnserved("the connection was closed");
+			logUnserved(CallerEnds.Cause.CALLER_LEFT, "the connection was closed");
 		}
 		finally {
 			ended();
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectFrontend.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectFrontend.java
@@ -135,10 +135,11 @@
 	}
 
 	/**
-	 * Log the requests that are cut off because the process ends.
+	 * Log the requests that are cut off, and the responses that are not written, because
+	 * the process ends.
 	 */
 	public void logUnserved() {
-		this.callers.forEach((caller) -> caller.logUnserved("the router stops"));
+		this.callers.forEach((caller) -> caller.logUnserved(CallerEnds.Cause.STOPPED, "the router stops"));
 	}
 
 	void closed(DirectCaller caller) {
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectMetrics.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectMetrics.java
@@ -40,6 +40,8 @@
 
 	private final Counter unservedRequests;
 
+	private final Counter undeliveredResponses;
+
 	private final Counter retries;
 
 	private final Counter resumes;
@@ -73,6 +75,7 @@
 		this.responsesAfterEnd = registry.counter(PREFIX + "responses-after-end");
 		this.refusedBodies = registry.counter(PREFIX + "refused-bodies");
 		this.unservedRequests = registry.counter(PREFIX + "unserved-requests");
+		this.undeliveredResponses = registry.counter(PREFIX + "undelivered-responses");
 		this.retries = registry.counter(PREFIX + "retries");
 		this.resumes = registry.counter(PREFIX + "resumes");
 		this.unreadablePeerMessages = registry.counter(PREFIX + "unreadable-peer-messages");
@@ -132,6 +135,10 @@
 		this.unservedRequests.inc();
 	}
 
+	void responseUndelivered() {
+		this.undeliveredResponses.inc();
+	}
+
 	void retry() {
 		this.retries.inc();
 	}
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ResponseWriter.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ResponseWriter.java
@@ -1,10 +1,12 @@
 package org.acaciamux.internal.transport.http.direct;
 
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -20,6 +22,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.Future;
 
 import org.acaciamux.internal.transport.http.LingeringClose;
 import org.acaciamux.internal.transport.http.ResetOnClose;
@@ -36,6 +39,11 @@
 
 	private final BooleanSupplier mayClose;
 
+	private final ResponseDelivery delivery;
+
+	/** The request that is answered, null between responses. */
+	private HttpRequest request;
+
 	private boolean keepAlive = true;
 
 	private boolean supportsChunks;
@@ -50,6 +58,7 @@
 	ResponseWriter(Channel channel, BooleanSupplier mayClose) {
 		this.channel = channel;
 		this.mayClose = mayClose;
+		this.delivery = new ResponseDelivery(channel);
 	}
 
 	/**
@@ -57,6 +66,7 @@
 	 * @param head its head
 	 */
 	void request(HttpRequest head) {
+		this.request = head;
 		this.keepAlive = HttpUtil.isKeepAlive(head);
 		this.headRequested = head.method().equals(HttpMethod.HEAD);
 		this.supportsChunks = head.protocolVersion().equals(HttpVersion.HTTP_1_1);
@@ -75,21 +85,28 @@
 		return this.headRequested;
 	}
 
+	ResponseDelivery delivery() {
+		return this.delivery;
+	}
+
 	boolean writable() {
 		return this.channel.isWritable();
 	}
 
 	/**
 	 * Refuse a request that is not complete, and close the connection.
+	 * @param refused its head, empty if it was not read
 	 * @param status the status
 	 * @param headers its headers, without framing
 	 */
-	void refuse(HttpResponseStatus status, HttpHeaders headers) {
+	void refuse(Optional<HttpRequest> refused, HttpResponseStatus status, HttpHeaders headers) {
 		DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
 				Unpooled.EMPTY_BUFFER);
 		response.headers().set(headers);
 		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0).set(HttpHeaderNames.CONNECTION, "close");
-		this.channel.writeAndFlush(response).addListener((sent) -> LingeringClose.start(this.channel));
+		refused.map((head) -> this.delivery.writeEnd(response, 0, head))
+			.orElseGet(() -> this.delivery.write(response, 0))
+			.addListener((sent) -> LingeringClose.start(this.channel));
 	}
 
 	/**
@@ -104,7 +121,7 @@
 		response.headers().set(headers);
 		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
 		markIfLast(response);
-		return finish(response);
+		return finish(response, content.readableBytes());
 	}
 
 	/**
@@ -128,7 +145,7 @@
 	}
 
 	void data(ByteBuf data) {
-		this.channel.writeAndFlush(new DefaultHttpContent(data)).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+		this.delivery.write(new DefaultHttpContent(data), data.readableBytes());
 	}
 
 	/**
@@ -136,7 +153,7 @@
 	 * @return whether it is the last one
 	 */
 	boolean endStream() {
-		return finish(LastHttpContent.EMPTY_LAST_CONTENT);
+		return finish(LastHttpContent.EMPTY_LAST_CONTENT, 0);
 	}
 
 	private void markIfLast(HttpResponse response) {
@@ -146,18 +163,22 @@
 		}
 	}
 
-	private boolean finish(HttpObject end) {
+	private boolean finish(HttpObject end, int bytes) {
+		HttpRequest answered = this.request;
+		this.request = null;
+		ChannelFuture write = this.delivery.writeEnd(end, bytes, answered);
 		boolean last = !this.keepAlive;
-		this.channel.writeAndFlush(end).addListener((written) -> {
-			if (!written.isSuccess()) {
-				this.channel.close();
-			}
-			else if (last && this.channel.isActive()) {
-				ResetOnClose.disable(this.channel);
-				LingeringClose.start(this.channel);
-			}
-		});
+		if (last) {
+			write.addListener(this::closeOutput);
+		}
 		return last;
 	}
 
+	private void closeOutput(Future<? super Void> written) {
+		if (written.isSuccess() && this.channel.isActive()) {
+			ResetOnClose.disable(this.channel);
+			LingeringClose.start(this.channel);
+		}
+	}
+
 }
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/UnservedRequests.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/UnservedRequests.java
@@ -8,10 +8,11 @@
 import org.acaciamux.internal.event.LogText;
 
 /**
- * Logs and counts the requests that end before they are served. Invariant: each request
- * whose head was read and that does not end with the line of an exchange leaves one line
- * with its attempt id; those that follow the announced end of their connection are
- * limited. Confined to the event loop.
+ * Logs and counts the requests that end before they are served, and the responses that
+ * are complete but not written when their connection ends. Invariant: each request whose
+ * head was read and that does not end with the line of an exchange leaves one line with
+ * its attempt id; those that follow the announced end of their connection are limited.
+ * Confined to the event loop.
  */
 final class UnservedRequests {
 
@@ -59,6 +60,18 @@
 		line("request-dropped", attemptId(head), "", reason);
 	}
 
+	/**
+	 * Record a complete response that is not written when its connection ends.
+	 * @param head the head of its request
+	 * @param bytes bytes of its body in the writes that are not complete
+	 * @param cause why the connection ends
+	 * @param reason the details
+	 */
+	void undelivered(HttpRequest head, int bytes, CallerEnds.Cause cause, String reason) {
+		this.context.metrics().responseUndelivered();
+		line("response-undelivered", attemptId(head), " unwrittenBytes=" + bytes + " cause=" + cause.label(), reason);
+	}
+
 	/**
 	 * Discard what arrives on a connection after its last response was announced.
 	 * @param message the message, which is released
