Write the last lines of a drain before the process may be killed

What operators saw: no stopped and no line of the requests that were ended, though their callers had got a response.

Cause: the log writes a batch each 100 ms. A router that comes out of a pause shortly before the grace time is over ends its requests at once, and SIGKILL takes the lines that wait for the next batch.

Change: DecisionLog.flushSoon ends the pause of the background thread, and DirectRouter calls it after stopped.

Why it works: the call does not block the event loop; each write still holds whole lines, and a pipe takes it whole or not at all. A slow reader may still lose lines, as before.

--- a/server/src/main/java/org/acaciamux/internal/event/DecisionLog.java
+++ b/server/src/main/java/org/acaciamux/internal/event/DecisionLog.java
@@ -7,6 +7,8 @@
 import java.util.Deque;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
 import org.agrona.concurrent.EpochClock;
@@ -38,6 +40,9 @@
 
 	private final BlockingQueue<String> waiting = new ArrayBlockingQueue<>(CAPACITY);
 
+	/** Each permit ends a pause between two batches. */
+	private final Semaphore flushes = new Semaphore(0);
+
 	private final AtomicLong dropped = new AtomicLong();
 
 	private static final long NANOS_PER_MS = 1_000_000;
@@ -79,6 +84,14 @@
 		}
 	}
 
+	/**
+	 * Write the waiting lines without a pause, because the process may be killed. Does
+	 * not block.
+	 */
+	public void flushSoon() {
+		this.flushes.release();
+	}
+
 	private void write() {
 		Deque<String> batch = new ArrayDeque<>();
 		try {
@@ -86,7 +99,8 @@
 				if (batch.isEmpty()) {
 					batch.add(this.waiting.take());
 				}
-				Thread.sleep(BATCH_INTERVAL_MS);
+				this.flushes.tryAcquire(BATCH_INTERVAL_MS, TimeUnit.MILLISECONDS);
+				this.flushes.drainPermits();
 				tryFlush(batch);
 			}
 		}
--- a/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
@@ -371,6 +371,7 @@
 		this.stopped = true;
 		this.log.line("event=stopped ms=" + times.elapsedMs(this.clock.nanoTime()) + " cut=" + cut + " connections="
 				+ this.frontend.connections());
+		this.log.flushSoon();
 		this.directory.leave();
 		this.peers.leave();
 		this.loop.schedule(whenDone, TICK_INTERVAL_MS, TimeUnit.MILLISECONDS);
--- a/server/src/test/java/org/acaciamux/internal/event/DecisionLogTests.java
+++ b/server/src/test/java/org/acaciamux/internal/event/DecisionLogTests.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 import org.testng.annotations.Test;
 
@@ -183,6 +184,33 @@
 				given + " lines: " + written);
 	}
 
+	/** A process that is killed loses the lines that wait for the next batch. */
+	@Test
+	public void flushedLinesDoNotWaitForTheNextBatch() throws InterruptedException {
+		long fastestNanos = Long.MAX_VALUE;
+		for (int i = 0; i < 10; i++) {
+			CountDownLatch written = new CountDownLatch(1);
+			DecisionLog log = new DecisionLog(new OutputStream() {
+				@Override
+				public void write(int b) {
+					throw new UnsupportedOperationException("lines are written as arrays");
+				}
+
+				@Override
+				public void write(byte[] bytes, int off, int len) {
+					written.countDown();
+				}
+			}, () -> 0, () -> 0);
+			long startedAt = System.nanoTime();
+			log.line("event=last");
+			log.flushSoon();
+			assertTrue(written.await(10, TimeUnit.SECONDS));
+			fastestNanos = Math.min(fastestNanos, System.nanoTime() - startedAt);
+			log.close();
+		}
+		assertTrue(fastestNanos < TimeUnit.MILLISECONDS.toNanos(50), fastestNanos + " ns");
+	}
+
 	private static void await(CountDownLatch latch) {
 		try {
 			latch.await();
