Count streams that reach their time limit as long ones

What callers saw: of a route of which 30 streams had ended at once and 6 had reached their time limit, a draining router began one of 4 s, which it cut.

Cause: only streams that had come to their end were recorded, so the longest ones were missing.

Change: a stream that reaches its time limit is recorded as one of unknown length, which no time left is enough for.

Why it works: if more than a tenth of a route's streams reach their time limit, the time limit decides as for an unknown route. Requests without a stream are not recorded, since they get a final response in any case.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/DrainAdmission.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/DrainAdmission.java
@@ -52,6 +52,17 @@
 		this.durations.computeIfAbsent(route.name(), (name) -> new Durations()).add(ms);
 	}
 
+	/**
+	 * Record a request that reached its time limit. A stream would have taken longer by
+	 * an unknown time; others get a final response in any case.
+	 * @param route its route
+	 */
+	public void expired(ServiceRoute route) {
+		if (route.streaming()) {
+			answered(route, Long.MAX_VALUE);
+		}
+	}
+
 	/**
 	 * Decide whether a request is sent.
 	 * @param route its route
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
@@ -371,6 +371,7 @@
 			return;
 		}
 		if (expired) {
+			this.context.drainAdmission().expired(this.admitted.route());
 			cancelSend();
 			giveUp("the time limit has passed");
 			return;
--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/DrainAdmissionTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/DrainAdmissionTests.java
@@ -102,6 +102,23 @@
 		assertFalse(mayBegin(this.plain, LIMIT_MS, STOP_MS - 2_000));
 	}
 
+	@Test
+	public void timeLimitAppliesIfMoreThanATenthOfTheStreamsReachIt() {
+		answered(this.stream, 18, 10);
+		this.admission.expired(this.stream);
+		this.admission.expired(this.stream);
+		assertTrue(mayBegin(this.stream, LIMIT_MS, 10));
+		this.admission.expired(this.stream);
+		assertFalse(mayBegin(this.stream, LIMIT_MS, 10));
+		assertTrue(mayBegin(this.stream, 1_000, 10));
+	}
+
+	@Test
+	public void timeLimitsOfPlainRequestsDoNotCount() {
+		this.admission.expired(this.plain);
+		assertTrue(mayBegin(this.plain, LIMIT_MS, 10));
+	}
+
 	@Test
 	public void streamIsRepeatedIfItsRouteTakesLessThanTheTimeLeft() {
 		assertTrue(this.admission.mayRepeat(this.stream, LIMIT_MS, DRAIN, at(STOP_MS - 1_100)));
