Ask about the drain before a request is held

What callers saw: a stream with a prompt part under which servers had crashed got its 503 in a drain after 1.5 s, although it could not end before the router stopped when it arrived.

Cause: SuspectHold was asked first and holds a request for up to 1.5 s; the drain was asked about after that.

Change: the drain is asked about first, for first and for repeated sends; it is asked about again after a hold.

Why it works: a hold only takes time away, so a request that cannot end before it cannot end after it either. A repeated send that does not follow takes no retry from the budget any more.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
@@ -134,7 +134,7 @@
 			giveUp("the time limit has passed");
 			return;
 		}
-		if (stoppedByCrashes(this::send) || this.drain.end(this.tried)) {
+		if (this.drain.end(this.tried) || stoppedByCrashes(this::send)) {
 			return;
 		}
 		Either<ServerChoice.None, ServerState> chosen = ServerChoice.choose(this.context, this.admitted, this.tried);
@@ -303,7 +303,7 @@
 	}
 
 	private void sendAgain(String reason) {
-		if (stoppedByCrashes(() -> sendAgain(reason))) {
+		if (this.drain.end(this.tried) || stoppedByCrashes(() -> sendAgain(reason))) {
 			return;
 		}
 		if (this.policy.nextIsRetry() && !this.context.budgets().tryRetry(this.admitted.service())) {
