Count the time limit of a request from its arrival

What servers saw: a request that was read behind another one of 2,000 ms came with a limit of 2,993 ms, of 3,000 ms when its caller had sent it. In a drain such a request is refused although its limit passes before the router stops.

Cause: the limit counted from the moment at which the request before had ended.

Change: ReadAhead keeps when each message arrived, and the limit counts from the arrival of the last one of the request.

Why it works: a caller waits from the time at which it has sent the request, whatever the router has to answer first. Durations in the log and Retry-After times still count from the start of the request, and uploads from their end.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
@@ -96,16 +96,16 @@
 			return;
 		}
 		if (this.exchange != null) {
-			this.readAhead.add(object);
+			this.readAhead.add(object, this.context.now());
 			if (this.readAhead.full()) {
 				this.channel.config().setAutoRead(false);
 			}
 			return;
 		}
-		read(object);
+		read(object, this.context.now());
 	}
 
-	private void read(HttpObject message) {
+	private void read(HttpObject message, long arrivedAt) {
 		try {
 			if (message.decoderResult().isFailure()) {
 				if (message instanceof HttpRequest request) {
@@ -118,7 +118,7 @@
 				begin(request);
 			}
 			if (!this.closing && message instanceof HttpContent content) {
-				add(content);
+				add(content, arrivedAt);
 			}
 		}
 		finally {
@@ -152,7 +152,7 @@
 		}
 	}
 
-	private void add(HttpContent content) {
+	private void add(HttpContent content, long arrivedAt) {
 		if (this.head == null) {
 			return;
 		}
@@ -167,7 +167,7 @@
 		if (!this.closing && content instanceof LastHttpContent) {
 			HttpRequest request = this.head;
 			this.head = null;
-			this.exchange = new DirectExchange(this.context, this, request, this.body.complete());
+			this.exchange = new DirectExchange(this.context, this, request, this.body.complete(), arrivedAt);
 			this.exchange.accept();
 		}
 	}
@@ -286,7 +286,8 @@
 			return;
 		}
 		while (this.exchange == null && !this.closing && !this.readAhead.isEmpty()) {
-			read(this.readAhead.poll());
+			ReadAhead.Arrival next = this.readAhead.poll();
+			read(next.message(), next.at());
 		}
 		this.channel.config().setAutoRead(this.closing || !this.readAhead.full());
 	}
