Let peers read what was sent before an agent ends

A response that an agent counted as sent could lose its end: frames are in the write buffer of the link long after they were sent, and a drain that waits for nothing more closes and halts at once. The router then loses the link, finds no agent, and cuts the caller's response although the agent logged it as complete.

Evidence: FramesLostAtShutdownTests fills a link to a router that reads 300 ms later, sends the end, and stops the parts in the order of a process. Before: "expected [chunks 136, ends 1, java.io.EOFException] but found [chunks 134, ends 0, java.net.SocketTimeoutException: Read timed out]". Now everything arrives, followed by the end of the connection. That a caller's response was cut is read from the code of the router, not shown with processes.

PeerServer.close flushes each connection, ends its output and waits until the peer has closed it, for 1 s at most. The peer's close proves that it has read everything, and a half-closed connection is not reset by frames that arrive meanwhile, such as credit.

--- a/server/src/main/java/org/acaciamux/internal/transport/peer/PeerServer.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/peer/PeerServer.java
@@ -13,8 +13,11 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.netty.util.concurrent.GlobalEventExecutor;
 import org.agrona.concurrent.NanoClock;
 
 import org.acaciamux.internal.event.EventLog;
@@ -35,6 +38,14 @@
 
 	private static final int HANDSHAKE_TIMEOUT_MS = 5_000;
 
+	/**
+	 * Longest time in milliseconds in which peers read what is in the write buffers when
+	 * the process ends.
+	 */
+	private static final long CLOSE_LIMIT_MS = 1_000;
+
+	private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+
 	private final PeerContext context;
 
 	private final EventLoopGroup group;
@@ -69,6 +80,7 @@
 			.childHandler(new ChannelInitializer<Channel>() {
 				@Override
 				protected void initChannel(Channel ch) {
+					PeerServer.this.connections.add(ch);
 					PeerPipeline.add(ch.pipeline(), PeerServer.this.context);
 					ch.pipeline()
 						.addLast("timeout", new ReadTimeoutHandler(HANDSHAKE_TIMEOUT_MS, TimeUnit.MILLISECONDS));
@@ -80,11 +92,16 @@
 		return future;
 	}
 
+	/**
+	 * Stop listening, and wait for up to a second until the peers have read everything
+	 * that was sent to them. Must not be called by an event loop.
+	 */
 	@Override
 	public void close() {
 		if (this.channel != null) {
 			this.channel.close();
 		}
+		FlushedClose.await(this.connections, CLOSE_LIMIT_MS);
 	}
 
 	private static final class HelloHandler extends SimpleChannelInboundHandler<Frame> {
