Write the end of a response before its connection counts as idle

Callers saw: a response without its end. A caller that read late got 3,904,956 bytes of 8 MB in a drain and after the idle time, though each of its 8 requests was logged as answered.

Cause: a connection counted as idle as soon as its exchange had ended, with the end of the response in the write buffer. stopAccepting, every 40 ms from 2.6 s of a drain on, and the idle timeout closed it, which drops the buffer.

Change: a connection is idle when everything is written. Until then the idle time counts from the last progress of the caller's reading, so one that never reads is closed after it (cause stalled), and in a drain holds the router open until it stops. Each check tries to write: the system calls a socket writable only when a third of its send buffer is free, some 0.9 MB here, and a caller that took longer than the idle time to read that would be closed while it reads.

Evidence: ResponseEndDroppedTests. Before, late in a drain and slowly for longer than the idle time: 3,904,956 bytes each, with a length and as a stream; now whole. Without the attempt to write, the four slow reads ended as stalled. Responses that announce their close, by header or by HTTP/1.0, were whole before and are now. callerThatDoesNotReadHoldsADrainOpenUntilTheRouterStops failed with cause=drain.

Why it works: the sizes of the writes that are not complete are known before the exchange ends, so no check can see the connection idle in between.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/CallerEnds.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/CallerEnds.java
@@ -56,6 +56,9 @@
 		/** Reading or writing failed, or a handler of the router did. */
 		FAILED("failed", false),
 
+		/** The caller did not read its response within the idle time. */
+		STALLED("stalled", false),
+
 		/** The process ends. */
 		STOPPED("stopped", false),
 
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/CallerWait.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/CallerWait.java
@@ -49,6 +49,16 @@
 		}
 	}
 
+	/**
+	 * Record that bytes of a response were written.
+	 * @param at when, monotonic time in nanoseconds
+	 */
+	void written(long at) {
+		if (this.awaited == Awaited.REQUEST && at - this.since > 0) {
+			this.since = at;
+		}
+	}
+
 	boolean forRequest() {
 		return this.awaited == Awaited.REQUEST;
 	}
@@ -70,10 +80,25 @@
 	}
 
 	/**
-	 * What a caller sends next.
+	 * Return whether the caller has read nothing for too long.
+	 * @param now the monotonic time in nanoseconds
+	 * @param progressAt when it has read last, monotonic time in nanoseconds
+	 * @param idleTimeoutMs longest time without progress, in milliseconds
+	 * @return that it reads if that is overdue, empty otherwise
+	 */
+	Optional<Awaited> readingOverdue(long now, long progressAt, long idleTimeoutMs) {
+		long stalled = Math.min(now - progressAt, now - this.since);
+		return (stalled / NANOS_PER_MS > idleTimeoutMs) ? Optional.of(Awaited.READING) : Optional.empty();
+	}
+
+	/**
+	 * What a caller does next.
 	 */
 	enum Awaited {
 
+		/** That it reads the rest of a response. */
+		READING,
+
 		/** The first bytes of a request. */
 		REQUEST,
 
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
@@ -21,7 +21,8 @@
  * One connection of a caller. Invariants: requests are answered one at a time in the
  * order received; in a drain, those that have arrived before a response are answered
  * before the connection closes; an incomplete response ends by closing the connection, or
- * by resetting it if it has no chunks, so that it never looks complete; when the caller
+ * by resetting it if it has no chunks, so that it never looks complete; a complete one is
+ * written before the connection closes, unless its caller stops reading; when the caller
  * closes its connection, the current request is cancelled. Confined to the event loop.
  */
 final class DirectCaller extends ChannelInboundHandlerAdapter {
@@ -76,7 +77,7 @@
 	@Override
 	public void handlerAdded(ChannelHandlerContext ctx) {
 		this.channel = ctx.channel();
-		this.writer = new ResponseWriter(this.channel, this::mayClose);
+		this.writer = new ResponseWriter(this.channel, this::mayClose, this.context.now());
 		this.wait.begin(this.context.now(), false);
 	}
 
@@ -295,7 +296,8 @@
 	/**
 	 * Check the time limits of a connection that serves no request.
 	 * @param headerTimeoutMs longest time for the headers of a request, in milliseconds
-	 * @param idleTimeoutMs longest time without bytes otherwise, in milliseconds
+	 * @param idleTimeoutMs longest time without bytes, read or written, otherwise, in
+	 * milliseconds
 	 */
 	void tick(long headerTimeoutMs, long idleTimeoutMs) {
 		if (overdue(headerTimeoutMs, idleTimeoutMs).isPresent()) {
@@ -307,19 +309,26 @@
 		if (this.exchange != null || this.closing) {
 			return Optional.empty();
 		}
-		return this.wait.overdue(this.context.now(), headerTimeoutMs, idleTimeoutMs);
+		long now = this.context.now();
+		long progressAt = this.writer.delivery().progressAt(now);
+		if (!this.writer.delivery().written()) {
+			return this.wait.readingOverdue(now, progressAt, idleTimeoutMs);
+		}
+		this.wait.written(progressAt);
+		return this.wait.overdue(now, headerTimeoutMs, idleTimeoutMs);
 	}
 
 	private void timedOut(CallerWait.Awaited missing) {
 		switch (missing) {
 			case HEADERS -> refuseAndClose(HttpResponseStatus.REQUEST_TIMEOUT, "the headers took too long");
 			case BODY -> refuseAndClose(HttpResponseStatus.REQUEST_TIMEOUT, "the rest of the body does not come");
+			case READING -> end(CallerEnds.Cause.STALLED, "the caller does not read its response");
 			default -> end(CallerEnds.Cause.IDLE, "no request within the idle time");
 		}
 	}
 
 	private boolean idle() {
-		return this.exchange == null && !this.closing && this.wait.forRequest();
+		return this.exchange == null && !this.closing && this.wait.forRequest() && this.writer.delivery().written();
 	}
 
 	void closeIfIdle() {
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ResponseDelivery.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ResponseDelivery.java
@@ -9,6 +9,8 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import org.agrona.collections.IntArrayQueue;
@@ -33,11 +35,17 @@
 
 	private final Channel channel;
 
+	/** Bytes that were not written at the last check, as the channel counts them. */
+	private long leftBytes;
+
+	private long progressAt;
+
 	/** The error that ended the connection, null if there was none. */
 	private Throwable failure;
 
-	ResponseDelivery(Channel channel) {
+	ResponseDelivery(Channel channel, long now) {
 		this.channel = channel;
+		this.progressAt = now;
 	}
 
 	/**
@@ -86,6 +94,40 @@
 		this.channel.close();
 	}
 
+	/**
+	 * Return whether everything is written.
+	 * @return whether the socket has all bytes
+	 */
+	boolean written() {
+		return this.writes.isEmpty();
+	}
+
+	// The system calls a socket writable when a third of its send buffer is free, which
+	// may hold seconds of what a slow caller reads.
+	private void flush() {
+		if (!written() && this.channel.unsafe() instanceof AbstractNioChannel.NioUnsafe nio) {
+			nio.forceFlush();
+		}
+	}
+
+	/**
+	 * Return when the caller has last made room for further bytes. To be called a few
+	 * times a second while no response is in progress; a change counts from the call that
+	 * sees it.
+	 * @param now the monotonic time in nanoseconds
+	 * @return the time, monotonic in nanoseconds
+	 */
+	long progressAt(long now) {
+		flush();
+		ChannelOutboundBuffer buffer = this.channel.unsafe().outboundBuffer();
+		long left = (buffer != null) ? buffer.totalPendingWriteBytes() - buffer.currentProgress() : 0;
+		if (left != this.leftBytes) {
+			this.leftBytes = left;
+			this.progressAt = now;
+		}
+		return this.progressAt;
+	}
+
 	/**
 	 * Return the error of a write that ended the connection.
 	 * @return the error, empty if it was closed otherwise
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ResponseWriter.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ResponseWriter.java
@@ -54,11 +54,12 @@
 	 * Create a writer.
 	 * @param channel the connection
 	 * @param mayClose whether a response that begins now may be the last one
+	 * @param now the monotonic time in nanoseconds
 	 */
-	ResponseWriter(Channel channel, BooleanSupplier mayClose) {
+	ResponseWriter(Channel channel, BooleanSupplier mayClose, long now) {
 		this.channel = channel;
 		this.mayClose = mayClose;
-		this.delivery = new ResponseDelivery(channel);
+		this.delivery = new ResponseDelivery(channel, now);
 	}
 
 	/**
