Let callers read the rest of their responses before the exit

What callers saw: a response that the log has as answered ended early when the router stopped, though its grace time was not over.

Cause: a router that has ended its requests at the end of its drain halted 40 ms later, with more than 500 ms of its grace time left. The kernel delivers after the exit what it has taken; bytes in the write buffers of the process are lost.

Change: the router exits when all connections of callers are closed, at the latest 400 ms after the end of requests, which is 200 ms before the platform kills it.

Why it works: the event loop goes on writing meanwhile, and a caller that has its response closes the connection that was announced to close, so an ordinary exit is not later.

--- a/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
@@ -74,6 +74,9 @@
 	 */
 	private static final long STOP_MARGIN_MS = 600;
 
+	/** Part of that time in which callers can read the rest, in milliseconds. */
+	private static final long LAST_WRITES_MS = 400;
+
 	/** Time in which the event loop reads all connections, in milliseconds. */
 	private static final long READ_PASS_MS = 10;
 
@@ -339,6 +342,7 @@
 
 	private void checkDrained(DrainTimes times, Runnable whenDone) {
 		if (this.stopped) {
+			exit(times, whenDone);
 			return;
 		}
 		long readUntil = this.context.readUntil();
@@ -374,7 +378,15 @@
 		this.log.flushSoon();
 		this.directory.leave();
 		this.peers.leave();
-		this.loop.schedule(whenDone, TICK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+	}
+
+	// Callers that read late get the rest of their responses until shortly before the
+	// kill.
+	private void exit(DrainTimes times, Runnable whenDone) {
+		long lateMs = -times.leftMs(this.clock.nanoTime());
+		if (this.frontend.connections() == 0 || lateMs >= LAST_WRITES_MS) {
+			whenDone.run();
+		}
 	}
 
 }
