Let a drain leave connections that linger after their last response

A caller that had asked for the close of its connection, and read its response late, got a reset: the connection lingers after the response and discards input, but counted as idle, so that a drain closed it after 1 ms. What the caller sent then reset the connection, and the kernel dropped the rest of the response, which was counted as answered.

A connection that lingers closes after 2 s at the latest, as before.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/CallerConnection.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/CallerConnection.java
@@ -140,7 +140,7 @@
 
 	@Override
 	public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
-		if (event == Drain.NOW && this.response == null && !this.readingRequest) {
+		if (event == Drain.NOW && this.response == null && !this.readingRequest && !this.discarding) {
 			schedule(READ_TURN_MS, ctx::close);
 		}
 		if (event == Drain.LAST && this.response == null && this.request != null && !this.discarding) {
