Don't ask for a body that a draining router refuses

On a connection that had been announced as kept, a caller that sent a request with Expect: 100-continue in a drain got 100, sent its body, and was refused after that. An upload that takes longer than the drain was cut.

Evidence: AnswersCutByADrainTests#bodyThatWouldBeRefusedIsNotAskedFor. Before: "HTTP/1.1 100 Continue". Now 503, not run, with the close announced, before the body is sent. Requests without the expectation are read to their end as before, because callers that are still sending may not read a refusal.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/CallerConnection.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/CallerConnection.java
@@ -188,6 +188,10 @@
 			refuse(FailureCode.BODY_TOO_LARGE, bodyTooLarge());
 			return;
 		}
+		if (HttpUtil.is100ContinueExpected(head) && this.draining.getAsBoolean()) {
+			refuse(FailureCode.DRAINING, "This router is shutting down; send the request again over a new connection.");
+			return;
+		}
 		if (HttpUtil.is100ContinueExpected(head)) {
 			this.context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
 		}
--- a/server/src/test/java/org/acaciamux/internal/transport/http/AnswersCutByADrainTests.java
+++ b/server/src/test/java/org/acaciamux/internal/transport/http/AnswersCutByADrainTests.java
@@ -21,9 +21,11 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertTrue;
 
 /**
- * Guards against responses that a drain cuts after they were written.
+ * Guards against responses that a drain cuts after they were written, and against bodies
+ * that a draining router asks for and refuses.
  */
 public class AnswersCutByADrainTests {
 
@@ -33,8 +35,13 @@
 
 	private static final int BODY_BYTES = 300_000;
 
+	private static final String GET = "GET /pools/chat/x HTTP/1.1\r\nHost: h\r\n\r\n";
+
 	private static final String LAST_GET = "GET /pools/chat/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
 
+	private static final String EXPECTING_POST = "POST /pools/chat/x HTTP/1.1\r\nHost: h\r\n"
+			+ "Expect: 100-continue\r\nContent-Length: 5\r\n\r\n";
+
 	private final BlockingQueue<ResponseSink> calls = new LinkedBlockingQueue<>();
 
 	private EventLoopGroup loop;
@@ -74,6 +81,24 @@
 		}
 	}
 
+	@Test
+	public void bodyThatWouldBeRefusedIsNotAskedFor() throws Exception {
+		try (HttpCaller caller = new HttpCaller(this.address)) {
+			caller.send(GET);
+			ResponseSink first = nextCall();
+			first.head(ResponseHead.newBuilder().setStatus(200).build(), "id-1");
+			caller.readUntil("\r\n\r\n");
+			drain();
+			first.end();
+			caller.readUntil("0\r\n\r\n");
+			caller.send(EXPECTING_POST);
+			String response = caller.readUntil("\r\n\r\n");
+			assertTrue(response.startsWith("HTTP/1.1 503 "), response);
+			assertTrue(response.toLowerCase().contains("acaciamux-outcome: not-run"), response);
+			assertTrue(response.toLowerCase().contains("connection: close"), response);
+		}
+	}
+
 	/**
 	 * Begin a drain and wait until it is in force.
 	 */
