Revert "Count the time limit of a request from its arrival"

StreamBegunInADrainTests#streamThatWasReadAheadIsNotBegunIfItCannotEnd fails with it: a stream that waits for 4 s behind another one has 1 s left of its limit of 5 s, which passes before the router stops, so it is begun and ends at its limit instead of being refused. Whether such a request should be sent has to be decided before its limit counts from its arrival.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
@@ -97,16 +97,16 @@
 			return;
 		}
 		if (this.exchange != null) {
-			this.readAhead.add(object, this.context.now());
+			this.readAhead.add(object);
 			if (this.readAhead.full()) {
 				this.channel.config().setAutoRead(false);
 			}
 			return;
 		}
-		read(object, this.context.now());
+		read(object);
 	}
 
-	private void read(HttpObject message, long arrivedAt) {
+	private void read(HttpObject message) {
 		try {
 			if (message.decoderResult().isFailure()) {
 				if (message instanceof HttpRequest request) {
@@ -119,7 +119,7 @@
 				begin(request);
 			}
 			if (!this.closing && message instanceof HttpContent content) {
-				add(content, arrivedAt);
+				add(content);
 			}
 		}
 		finally {
@@ -153,7 +153,7 @@
 		}
 	}
 
-	private void add(HttpContent content, long arrivedAt) {
+	private void add(HttpContent content) {
 		if (this.head == null) {
 			return;
 		}
@@ -168,7 +168,7 @@
 		if (!this.closing && content instanceof LastHttpContent) {
 			HttpRequest request = this.head;
 			this.head = null;
-			this.exchange = new DirectExchange(this.context, this, request, this.body.complete(), arrivedAt);
+			this.exchange = new DirectExchange(this.context, this, request, this.body.complete());
 			this.exchange.accept();
 		}
 	}
@@ -287,8 +287,7 @@
 			return;
 		}
 		while (this.exchange == null && !this.closing && !this.readAhead.isEmpty()) {
-			ReadAhead.Arrival next = this.readAhead.poll();
-			read(next.message(), next.at());
+			read(this.readAhead.poll());
 		}
 		this.channel.config().setAutoRead(this.closing || !this.readAhead.full());
 	}
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectContext.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectContext.java
@@ -223,10 +223,6 @@
 		return this.drain;
 	}
 
-	boolean stopsWithin(long ms) {
-		return this.drain.filter((times) -> times.leftMs(now()) < ms).isPresent();
-	}
-
 	/**
 	 * Return the number of requests in progress.
 	 * @return the number, at least 0
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
@@ -47,9 +47,6 @@
 
 	private final ByteBuf body;
 
-	/** Before the start if the request was read ahead. */
-	private final long arrivedAt;
-
 	private final long startedAt;
 
 	private final ExchangeLog log;
@@ -78,12 +75,11 @@
 
 	private SuspectHold hold;
 
-	DirectExchange(DirectContext context, DirectCaller caller, HttpRequest head, ByteBuf body, long arrivedAt) {
+	DirectExchange(DirectContext context, DirectCaller caller, HttpRequest head, ByteBuf body) {
 		this.context = context;
 		this.caller = caller;
 		this.head = head;
 		this.body = body;
-		this.arrivedAt = arrivedAt;
 		this.startedAt = context.now();
 		this.log = new ExchangeLog(context, head, this.startedAt);
 		this.end = new ExchangeEnd(context, caller, this, this.log, this.startedAt);
@@ -101,13 +97,17 @@
 			return;
 		}
 		this.deadlineAt = this.startedAt + START_WAIT_MS * NANOS_PER_MS;
-		if (this.context.stopsWithin(START_WAIT_MS)) {
+		if (stopsWithin(START_WAIT_MS)) {
 			refuse("no configuration or no backend server is known, and the router stops");
 			return;
 		}
 		this.context.addWaiting(this);
 	}
 
+	private boolean stopsWithin(long ms) {
+		return this.context.drainTimes().filter((times) -> times.leftMs(this.startedAt) < ms).isPresent();
+	}
+
 	void start() {
 		RequestLookup.find(this.context.format(), this.context.config().orElseThrow(), this.head, this.log)
 			.peekLeft((invalid) -> this.end.respond(invalid.status(), invalid.outcome(), invalid.reason(), this.tried))
@@ -116,7 +116,7 @@
 
 	private void admit(CallerRequest request, ServiceRoute route, Optional<Organisation> organisation) {
 		String service = route.service(StableHash.of(request.attemptId()));
-		this.deadlineAt = this.arrivedAt + Math.min(request.waitMs(), route.timeoutMs()) * NANOS_PER_MS;
+		this.deadlineAt = this.startedAt + Math.min(request.waitMs(), route.timeoutMs()) * NANOS_PER_MS;
 		this.admitted = new AdmittedRequest(request, route, service, organisation,
 				this.context.admission().arrived(route, organisation), this.deadlineAt);
 		this.context.budgets().recordRequest(service);
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ReadAhead.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ReadAhead.java
@@ -21,7 +21,7 @@
 	/** Limit for one connection, in bytes: four headers of the largest default size. */
 	private static final int MAX_BYTES = 65_536;
 
-	private final Deque<Arrival> messages = new ArrayDeque<>();
+	private final Deque<HttpObject> messages = new ArrayDeque<>();
 
 	private final BodyBudget budget;
 
@@ -31,27 +31,22 @@
 		this.budget = budget;
 	}
 
-	/**
-	 * Add a message.
-	 * @param message the message
-	 * @param now when it arrived, monotonic time in nanoseconds
-	 */
-	void add(HttpObject message, long now) {
-		this.messages.add(new Arrival(message, now));
+	void add(HttpObject message) {
+		this.messages.add(message);
 		count(bytes(message));
 	}
 
 	/**
 	 * Return the next message.
-	 * @return the message, which the caller of this method must release, and when it
-	 * arrived; null if there is none
+	 * @return the message, which the caller of this method must release; null if there is
+	 * none
 	 */
-	Arrival poll() {
-		Arrival next = this.messages.poll();
-		if (next != null) {
-			count(-bytes(next.message()));
+	HttpObject poll() {
+		HttpObject message = this.messages.poll();
+		if (message != null) {
+			count(-bytes(message));
 		}
-		return next;
+		return message;
 	}
 
 	private void count(int change) {
@@ -91,26 +86,13 @@
 	 * @return the heads, in the order received
 	 */
 	List<HttpRequest> requests() {
-		return this.messages.stream()
-			.map(Arrival::message)
-			.filter(HttpRequest.class::isInstance)
-			.map(HttpRequest.class::cast)
-			.toList();
+		return this.messages.stream().filter(HttpRequest.class::isInstance).map(HttpRequest.class::cast).toList();
 	}
 
 	void clear() {
 		while (!this.messages.isEmpty()) {
-			ReferenceCountUtil.release(poll().message());
+			ReferenceCountUtil.release(poll());
 		}
 	}
 
-	/**
-	 * A message that was read.
-	 *
-	 * @param message the message
-	 * @param at when it arrived, monotonic time in nanoseconds
-	 */
-	record Arrival(HttpObject message, long at) {
-	}
-
 }
--- a/server/src/test/java/org/acaciamux/internal/transport/http/direct/BodyBudgetTests.java
+++ b/server/src/test/java/org/acaciamux/internal/transport/http/direct/BodyBudgetTests.java
@@ -236,7 +236,7 @@
 	@Test
 	public void requestsReadAheadCountInTheBudget() {
 		ReadAhead first = new ReadAhead(this.budget);
-		first.add(new DefaultHttpContent(Unpooled.wrappedBuffer(new byte[SMALL])), 0);
+		first.add(new DefaultHttpContent(Unpooled.wrappedBuffer(new byte[SMALL])));
 		assertEquals(this.budget.bytes(), SMALL);
 		assertFalse(first.full());
 		for (int i = 0; i < 7; i++) {
@@ -245,7 +245,7 @@
 		assertFalse(first.full());
 		ReadAhead second = new ReadAhead(this.budget);
 		for (int i = 0; i < 4; i++) {
-			second.add(new DefaultHttpContent(Unpooled.wrappedBuffer(new byte[SMALL])), 0);
+			second.add(new DefaultHttpContent(Unpooled.wrappedBuffer(new byte[SMALL])));
 		}
 		assertTrue(first.full());
 		assertTrue(this.refused.isEmpty());
@@ -259,7 +259,7 @@
 		ReadAhead readAhead = new ReadAhead(this.budget);
 		int messages = 0;
 		while (!readAhead.full()) {
-			readAhead.add(new DefaultHttpContent(Unpooled.wrappedBuffer(new byte[8_192])), 0);
+			readAhead.add(new DefaultHttpContent(Unpooled.wrappedBuffer(new byte[8_192])));
 			messages++;
 		}
 		assertEquals(messages, 8);
