Let an idle agent with a short drain timeout end cleanly

What operators saw: with limits.drainTimeoutMs below 2,700 ms, an agent without work ended with exit code 1 after SIGTERM, as if it had given up work.

Evidence: ShortDrainTimeoutTests, an agent process with a timeout of 1 s, failed before: "expected [0] but found [1]". It passes now, as do UnansweredSubmitTests and DrainTimeoutTests.

Why it works: the announcement ends 200 ms before the timeout (four polls of the drain), at most half of the timeout. Timeouts of 2.9 s and more keep the whole announcement; with a shorter one, routers may still be unaware when the agent ends.

--- a/server/src/main/java/org/acaciamux/internal/process/AgentRuntime.java
+++ b/server/src/main/java/org/acaciamux/internal/process/AgentRuntime.java
@@ -51,6 +51,12 @@
 	 */
 	private static final long ANNOUNCE_MS = 2_700;
 
+	/**
+	 * Time in milliseconds that a drain without work leaves of its timeout; at most half
+	 * of the timeout.
+	 */
+	private static final long ANNOUNCE_RESERVE_MS = 200;
+
 	private static final long NOT_STARTED = -1;
 
 	private final AtomicLong drainStartedMs = new AtomicLong(NOT_STARTED);
@@ -216,7 +222,14 @@
 	}
 
 	private boolean isAnnouncing() {
-		return this.core.nowMs() - this.drainStartedMs.get() < ANNOUNCE_MS;
+		return this.core.nowMs() - this.drainStartedMs.get() < announceMs();
+	}
+
+	// A drain that only announces itself must not count as incomplete.
+	private long announceMs() {
+		long timeoutMs = this.core.settings.limits().drainTimeoutMs();
+		return (timeoutMs > 0) ? Math.min(ANNOUNCE_MS, Math.max(timeoutMs - ANNOUNCE_RESERVE_MS, timeoutMs / 2))
+				: ANNOUNCE_MS;
 	}
 
 	private boolean waitsForHandover() {
