Close a connection whose caller does not read its last response

Callers saw: nothing. A caller that asked with Connection: close or HTTP/1.0 and did not read kept its connection and up to all responses in the write buffer for as long as it liked.

Cause: the idle check left out connections that had announced their end; they close when the response is written, which never happened.

Change: the idle time since the last progress of reading holds for them too.

Evidence: connectionIsClosedIfItsCallerDoesNotReadForTheIdleTime with "Connection: close" and "HTTP/1.0 stream". Before: "no event=response-undelivered request=last" after 15 s with an idle time of 1 s; now closed as stalled. Slow reads of such responses are whole before and after.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectCaller.java
@@ -305,7 +305,7 @@
 	}
 
 	private Optional<CallerWait.Awaited> overdue(long headerTimeoutMs, long idleTimeoutMs) {
-		if (this.exchange != null || this.closing) {
+		if (this.exchange != null) {
 			return Optional.empty();
 		}
 		long now = this.context.now();
@@ -314,7 +314,7 @@
 			return this.wait.readingOverdue(now, progressAt, idleTimeoutMs);
 		}
 		this.wait.written(progressAt);
-		return this.wait.overdue(now, headerTimeoutMs, idleTimeoutMs);
+		return this.closing ? Optional.empty() : this.wait.overdue(now, headerTimeoutMs, idleTimeoutMs);
 	}
 
 	private void timedOut(CallerWait.Awaited missing) {
