Judge large responses in a drain as streams

What callers saw: a response of 1.2 MB on a route without streams, sent to its server 2.3 s after SIGTERM, began with status 200 and was cut when the router stopped.

Cause: DrainAdmission let requests of such routes begin until a second before the stop, because they "get a final response in any case". ResponseRelay passes on a response in parts when it is larger than 1 MiB or when the router holds too many bytes, and one that has begun has no final response any more.

Change: the samples of a route tell whether the response was passed on in parts. If more than a tenth of them were, the route is judged as one with streams, for its first sends and for repeats.

Why it works: such a request begins only if it is expected to end. What remains: a large response of a route whose last ones were small, or of which none is known, may still be cut.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/DrainAdmission.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/DrainAdmission.java
@@ -8,9 +8,10 @@
  * Decides which requests a router still sends in its drain, when callers use open
  * connections again and the load balancer does not know of the drain yet. Invariant: a
  * request is sent only if it is expected to end before the router stops, by its time
- * limit or by the durations of the route's last requests; a stream for which the load
- * balancer did not choose this router is sent by its time limit only, because one that is
- * cut has no final response. Confined to the event loop.
+ * limit or by the durations of the route's last requests; one whose response is passed on
+ * in parts, and for which the load balancer did not choose this router, is sent by its
+ * time limit only, because one that is cut has no final response. Confined to the event
+ * loop.
  */
 public final class DrainAdmission {
 
@@ -47,9 +48,23 @@
 	 * Record a request that succeeded. Failures tell nothing about how long it takes.
 	 * @param route its route
 	 * @param ms milliseconds from its arrival to the end of its response
+	 * @param inParts whether the response was passed on in parts, as those of streams are
+	 * and those that are too large to be buffered
 	 */
-	public void answered(ServiceRoute route, long ms) {
-		this.durations.computeIfAbsent(route.name(), (name) -> new Durations()).add(ms);
+	public void answered(ServiceRoute route, long ms, boolean inParts) {
+		this.durations.computeIfAbsent(route.name(), (name) -> new Durations()).add(ms, inParts);
+	}
+
+	/**
+	 * Return whether the responses of a route are passed on in parts, so that one that is
+	 * cut has no final response.
+	 * @param route the route
+	 * @return whether it has streams, or more than a tenth of its last responses were
+	 * passed on so
+	 */
+	public boolean passesOnParts(ServiceRoute route) {
+		Durations known = this.durations.get(route.name());
+		return route.streaming() || (known != null && known.oftenInParts());
 	}
 
 	/**
@@ -58,8 +73,8 @@
 	 * @param route its route
 	 */
 	public void expired(ServiceRoute route) {
-		if (route.streaming()) {
-			answered(route, Long.MAX_VALUE);
+		if (passesOnParts(route)) {
+			answered(route, Long.MAX_VALUE, true);
 		}
 	}
 
@@ -72,14 +87,16 @@
 	 * @return whether it is expected to end before the router stops
 	 */
 	public boolean mayBegin(ServiceRoute route, long limitMs, DrainTimes drain, long now) {
-		long expectedMs = route.streaming() ? streamMs(route, limitMs, drain.balancerLeftMs(now) > 0) : likelyMs(route);
+		long expectedMs = passesOnParts(route) ? streamMs(route, limitMs, drain.balancerLeftMs(now) > 0)
+				: likelyMs(route);
 		return Math.min(limitMs, expectedMs) < drain.leftMs(now);
 	}
 
 	/**
-	 * Decide whether a stream that has not begun is sent again after it may have run. It
-	 * fails otherwise, so it is sent if its route's last requests took less than the time
-	 * left, whatever the load balancer does.
+	 * Decide whether a request whose response is passed on in parts, of which none was
+	 * passed on yet, is sent again after it may have run. It fails otherwise, so it is
+	 * sent if its route's last requests took less than the time left, whatever the load
+	 * balancer does.
 	 * @param route its route
 	 * @param limitMs milliseconds until its time limit
 	 * @param drain the times of the drain
@@ -104,16 +121,29 @@
 
 		private final long[] last = new long[SAMPLES];
 
+		private final boolean[] inParts = new boolean[SAMPLES];
+
 		private int count;
 
 		private int next;
 
-		void add(long ms) {
+		void add(long ms, boolean parts) {
 			this.last[this.next] = ms;
+			this.inParts[this.next] = parts;
 			this.next = (this.next + 1) % SAMPLES;
 			this.count = Math.min(SAMPLES, this.count + 1);
 		}
 
+		boolean oftenInParts() {
+			int parts = 0;
+			for (int i = 0; i < this.count; i++) {
+				if (this.inParts[i]) {
+					parts++;
+				}
+			}
+			return this.count - parts < EXPECTED_QUANTILE * this.count;
+		}
+
 		long expectedMs() {
 			long[] sorted = Arrays.copyOf(this.last, this.count);
 			Arrays.sort(sorted);
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DirectExchange.java
@@ -264,7 +264,8 @@
 		long now = this.context.now();
 		this.context.admission().answered(this.admitted.service(), (now - send.sentAt()) / NANOS_PER_MS);
 		if (HttpStatusClass.SUCCESS.contains(this.relay.status())) {
-			this.context.drainAdmission().answered(this.admitted.route(), (now - this.startedAt) / NANOS_PER_MS);
+			this.context.drainAdmission()
+				.answered(this.admitted.route(), (now - this.startedAt) / NANOS_PER_MS, relayStarted());
 		}
 		endSends();
 		if (proved) {
--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/DrainCheck.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/DrainCheck.java
@@ -70,12 +70,12 @@
 
 	/**
 	 * Return whether another server may run the request, which may have run before. A
-	 * response that has begun goes on as long as the router runs, and a request without a
-	 * stream gets a final response in any case.
+	 * response that has begun goes on as long as the router runs, and one that is not
+	 * passed on in parts is followed by a final response in any case.
 	 * @return whether it may
 	 */
 	boolean mayRepeat() {
-		return this.relay.started() || !this.admitted.route().streaming()
+		return this.relay.started() || !this.context.drainAdmission().passesOnParts(this.admitted.route())
 				|| expected(this.context.drainAdmission()::mayRepeat);
 	}
 
--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/DrainAdmissionTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/DrainAdmissionTests.java
@@ -40,7 +40,7 @@
 
 	private void answered(ServiceRoute route, int count, long ms) {
 		for (int i = 0; i < count; i++) {
-			this.admission.answered(route, ms);
+			this.admission.answered(route, ms, route.streaming());
 		}
 	}
 
@@ -119,6 +119,18 @@
 		assertTrue(mayBegin(this.plain, LIMIT_MS, 10));
 	}
 
+	@Test
+	public void largeResponsesAreJudgedAsStreams() {
+		answered(this.plain, 18, 10);
+		this.admission.answered(this.plain, 10, true);
+		this.admission.answered(this.plain, 10, true);
+		assertTrue(mayBegin(this.plain, LIMIT_MS, BALANCER_MS));
+		this.admission.answered(this.plain, 10, true);
+		assertTrue(mayBegin(this.plain, LIMIT_MS, BALANCER_MS - 100));
+		assertFalse(mayBegin(this.plain, LIMIT_MS, BALANCER_MS));
+		assertTrue(mayBegin(this.plain, 1_000, BALANCER_MS));
+	}
+
 	@Test
 	public void streamIsRepeatedIfItsRouteTakesLessThanTheTimeLeft() {
 		assertTrue(this.admission.mayRepeat(this.stream, LIMIT_MS, DRAIN, at(STOP_MS - 1_100)));
