Do not require a request for a response that is written

Cause: ResponseDelivery keeps the request of each response that is not written yet, and a response without one was not foreseen. A caller always has a request by then, so no caller saw it.

Change: such a write is tracked without a request.

--- a/server/src/main/java/org/acaciamux/internal/transport/http/direct/ResponseWriter.java
+++ b/server/src/main/java/org/acaciamux/internal/transport/http/direct/ResponseWriter.java
@@ -165,9 +165,10 @@
 	}
 
 	private boolean finish(HttpObject end, int bytes) {
-		HttpRequest answered = this.request;
+		Optional<HttpRequest> answered = Optional.ofNullable(this.request);
 		this.request = null;
-		ChannelFuture write = this.delivery.writeEnd(end, bytes, answered);
+		ChannelFuture write = answered.map((head) -> this.delivery.writeEnd(end, bytes, head))
+			.orElseGet(() -> this.delivery.write(end, bytes));
 		boolean last = !this.keepAlive;
 		if (last) {
 			write.addListener(this::closeOutput);
