Do not trust the durations of streams in the end of a late drain

What callers saw: a stream that was sent 3.5 s after SIGTERM to a router whose event loop had begun the drain 2.0 s late started with status 200 and was cut when the router stopped.

Cause: streams are begun because nine in ten of their route end in time as long as the load balancer still sends. That time counts from the start of the drain, the stop counts from the signal, so a late drain goes on with this estimate close to its stop.

Evidence: LateDrainTests failed before: lateMs=2000 stopInMs=3399, 200 and the first event, then the closed connection, instead of 503. It passes now, as do DrainAdmissionTests (with a new case; its other cases are as they were), StreamBegunInADrainTests and LargeResponseBegunInADrainTests.

Change: the estimate is used until the load balancer should have stopped as counted from the signal. Refusals and the end of accepting still wait for the load balancer.

Why it works: later streams are bounded by their time limit, whenever the drain began. A drain that begins in time is as before.

--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/DrainAdmission.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/DrainAdmission.java
@@ -9,9 +9,9 @@
  * connections again and the load balancer does not know of the drain yet. Invariant: a
  * request is sent only if it is expected to end before the router stops, by its time
  * limit or by the durations of the route's last requests; one whose response is passed on
- * in parts, and for which the load balancer did not choose this router, is sent by its
- * time limit only, because one that is cut has no final response. Confined to the event
- * loop.
+ * in parts is sent by its time limit only once the load balancer should have stopped,
+ * counted from the signal, because one that is cut has no final response. Confined to the
+ * event loop.
  */
 public final class DrainAdmission {
 
@@ -87,8 +87,7 @@
 	 * @return whether it is expected to end before the router stops
 	 */
 	public boolean mayBegin(ServiceRoute route, long limitMs, DrainTimes drain, long now) {
-		long expectedMs = passesOnParts(route) ? streamMs(route, limitMs, drain.balancerLeftMs(now) > 0)
-				: likelyMs(route);
+		long expectedMs = passesOnParts(route) ? streamMs(route, limitMs, drain.allowsEstimates(now)) : likelyMs(route);
 		return Math.min(limitMs, expectedMs) < drain.leftMs(now);
 	}
 
@@ -107,9 +106,9 @@
 		return Math.min(limitMs, likelyMs(route)) < drain.leftMs(now);
 	}
 
-	private long streamMs(ServiceRoute route, long limitMs, boolean balanced) {
+	private long streamMs(ServiceRoute route, long limitMs, boolean estimated) {
 		Durations known = this.durations.get(route.name());
-		return (balanced && known != null && known.count >= MIN_STREAMS) ? known.expectedMs() : limitMs;
+		return (estimated && known != null && known.count >= MIN_STREAMS) ? known.expectedMs() : limitMs;
 	}
 
 	private long likelyMs(ServiceRoute route) {
--- a/server/src/main/java/org/acaciamux/internal/coordination/direct/DrainTimes.java
+++ b/server/src/main/java/org/acaciamux/internal/coordination/direct/DrainTimes.java
@@ -4,12 +4,14 @@
  * Times of the drain of a router. Immutable and thread-safe.
  *
  * @param signalledAt when the router was told to stop, monotonic time in nanoseconds
+ * @param estimatesUntil until when a stream may begin because most of its route end in
+ * time, monotonic time in nanoseconds; not later than balancerStopsAt
  * @param balancerStopsAt when the load balancer has stopped sending requests, monotonic
  * time in nanoseconds
  * @param stopsAt when it ends the requests that are still in progress, monotonic time in
  * nanoseconds
  */
-public record DrainTimes(long signalledAt, long balancerStopsAt, long stopsAt) {
+public record DrainTimes(long signalledAt, long estimatesUntil, long balancerStopsAt, long stopsAt) {
 
 	private static final long NANOS_PER_MS = 1_000_000;
 
@@ -22,6 +24,15 @@
 		return (now - this.signalledAt) / NANOS_PER_MS;
 	}
 
+	/**
+	 * Return whether a stream may begin because most of its route end in time.
+	 * @param now the monotonic time in nanoseconds
+	 * @return whether it may
+	 */
+	public boolean allowsEstimates(long now) {
+		return now - this.estimatesUntil < 0;
+	}
+
 	/**
 	 * Return the time until the load balancer has stopped sending requests.
 	 * @param now the monotonic time in nanoseconds
--- a/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
+++ b/server/src/main/java/org/acaciamux/internal/process/direct/DirectRouter.java
@@ -330,6 +330,7 @@
 			// The load balancer sees the drain from now on; the platform counts from the
 			// signal.
 			DrainTimes times = new DrainTimes(signalledAt,
+					signalledAt + TimeUnit.MILLISECONDS.toNanos(STOP_ACCEPTING_AFTER_MS),
 					drainSince + TimeUnit.MILLISECONDS.toNanos(STOP_ACCEPTING_AFTER_MS),
 					signalledAt + TimeUnit.MILLISECONDS.toNanos(this.settings.drainTimeoutMs() - STOP_MARGIN_MS));
 			this.log.line("event=drain-started inFlight=" + this.context.inFlight() + " connections="
--- a/server/src/test/java/org/acaciamux/internal/coordination/direct/DrainAdmissionTests.java
+++ b/server/src/test/java/org/acaciamux/internal/coordination/direct/DrainAdmissionTests.java
@@ -21,7 +21,7 @@
 
 	private static final long LIMIT_MS = 15_000;
 
-	private static final DrainTimes DRAIN = new DrainTimes(0, at(BALANCER_MS), at(STOP_MS));
+	private static final DrainTimes DRAIN = new DrainTimes(0, at(BALANCER_MS), at(BALANCER_MS), at(STOP_MS));
 
 	private final ServiceRoute stream = AttemptPolicyTests.route(RouteKind.STREAMING, false);
 
@@ -89,6 +89,14 @@
 		assertFalse(mayBegin(this.stream, LIMIT_MS, BALANCER_MS));
 	}
 
+	@Test
+	public void shortStreamsDoNotLetAnotherBeginInTheEndOfALateDrain() {
+		DrainTimes late = new DrainTimes(0, at(BALANCER_MS), at(BALANCER_MS + 2_000), at(STOP_MS));
+		answered(this.stream, DrainAdmission.SAMPLES, 10);
+		assertTrue(this.admission.mayBegin(this.stream, LIMIT_MS, late, at(BALANCER_MS - 100)));
+		assertFalse(this.admission.mayBegin(this.stream, LIMIT_MS, late, at(BALANCER_MS)));
+	}
+
 	@Test
 	public void plainRequestBeginsWhileASecondIsLeft() {
 		assertTrue(mayBegin(this.plain, LIMIT_MS, STOP_MS - 1_100));
